--- /dev/null
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "hibiscusfall/core/address.hpp"
+#include "hibiscusfall/peers/catalog_copy.hpp"
+#include "hibiscusfall/peers/load_report.hpp"
+#include "hibiscusfall/relay/entry.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hibiscusfall::peers
+{
+
+/// @brief Settings of the exchange between instances.
+struct exchange_options {
+    core::address inner;             ///< Where this instance takes datagrams and connections.
+    std::vector<core::address> seeds; ///< Told first; they tell the others.
+};
+
+/// @brief How the exchange reads and takes over what the store says; set by its owner.
+struct exchange_ports {
+    std::function<catalog_copy()> copy;
+    std::function<void(const catalog_copy&)> take;
+    std::function<std::uint64_t()> table_version;
+    std::function<std::uint64_t()> list_revision;
+    std::function<bool()> store_silent; ///< Whether the store has not answered for a while.
+};
+
+/// @brief Counts of the exchange.
+struct exchange_counters {
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+    std::uint64_t unreadable = 0;
+    std::uint64_t copies_taken = 0;
+};
+
+/// @brief Tells the other instances what this one placed, and learns the same of them.
+/// @remarks Loss, doubling and crossing of datagrams are harmless: they carry totals and a sequence number.
+class peer_exchange
+{
+public:
+    peer_exchange(relay::entry& owner, exchange_options settings, exchange_ports connections);
+
+    /// @brief Opens the sockets and begins.
+    /// @throws boost::system::system_error When the address cannot be bound.
+    void start();
+
+    /// @brief Instances heard of lately, this one included.
+    [[nodiscard]] std::uint32_t live_instances(core::instant now) const;
+
+    /// @brief Addresses to tell, learned from elsewhere.
+    void add_member(const core::address& member);
+
+    [[nodiscard]] const exchange_counters& counts() const noexcept { return this->counted; }
+
+private:
+    struct member {
+        std::string name{}; ///< Empty until it was heard.
+        core::instant heard{};
+        core::instant added{};
+        std::uint64_t table_version = 0;
+        std::uint64_t list_revision = 0;
+    };
+    using udp = relay::asio::ip::udp;
+
+    void tick(core::instant now);
+    load_report make_report(core::instant now, bool whole);
+    void send(const std::string& datagram, core::instant now);
+    void take(const load_report& report, core::instant now);
+    void ask_for_copy(core::instant now);
+    relay::asio::awaitable<void> receive();
+    relay::asio::awaitable<void> serve_copies();
+    relay::asio::awaitable<void> fetch_copy(core::address from);
+
+    relay::entry& entry;
+    exchange_options options;
+    exchange_ports ports;
+    udp::socket socket;
+    std::optional<relay::asio::ip::tcp::acceptor> acceptor;
+    std::map<core::address, member> members;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    core::instant last_sent{};
+    core::instant last_whole{};
+    std::unordered_map<dispatch::endpoint_tag, std::pair<std::uint64_t, std::uint32_t>> told;
+    std::vector<part_sent> last_parts;
+    std::array<char, 65536> datagram{};
+    bool fetching = false;
+    core::instant behind_since = core::instant::max();
+    exchange_counters counted;
+};
+
+} // namespace hibiscusfall::peers
--- a/include/hibiscusfall/settings/router_settings.hpp
+++ b/include/hibiscusfall/settings/router_settings.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/core/address.hpp"
 #include "hibiscusfall/core/identifiers.hpp"
+#include "hibiscusfall/settings/setting_description.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -79,13 +80,6 @@
     std::string log_level = "event";
 };
 
-/// @brief One fault in a settings file.
-struct settings_error {
-    std::string section;
-    std::string key;
-    std::string message; ///< Names the value and what is allowed.
-};
-
 /// @brief A settings file as read; it is usable when there are no errors.
 struct settings_reading {
     router_settings settings;
@@ -102,18 +96,6 @@
 /// @endcode
 [[nodiscard]] settings_reading read_router_settings(std::string_view ini_text);
 
-/// @brief Writes an error as "[section] key: message".
-[[nodiscard]] std::string to_string(const settings_error& error);
-
-/// @brief What a settings reference says of one key.
-struct setting_description {
-    std::string_view section;
-    std::string_view key;
-    std::string_view unit;
-    std::string_view fallback; ///< The default; empty when the key is required or off.
-    std::string_view text;
-};
-
 /// @brief Every key that a settings file may have, in the order of the reference page.
 [[nodiscard]] std::vector<setting_description> describe_router_settings();
 
--- /dev/null
+++ b/src/catalog/endpoint_list.cpp
@@ -0,0 +1,98 @@
+#include "hibiscusfall/catalog/endpoint_list.hpp"
+
+namespace hibiscusfall::catalog
+{
+
+namespace
+{
+
+bool apply_one(endpoint_list& list, const entry_change& change, bool store_calm, core::instant now)
+{
+    if (change.now) {
+        list.lapsing.erase(change.key);
+        auto [place, added] = list.entries.try_emplace(change.key, *change.now);
+        if (added) {
+            return true;
+        }
+        if (place->second == *change.now) {
+            return false;
+        }
+        place->second = *change.now;
+        return true;
+    }
+    const auto known = list.entries.find(change.key);
+    if (known == list.entries.end()) {
+        return false;
+    }
+    // An endpoint that announced its end is not expected back.
+    if (change.removed && !store_calm && !known->second.draining) {
+        list.lapsing.try_emplace(change.key, now + lapse_grace);
+        return false;
+    }
+    list.entries.erase(known);
+    list.lapsing.erase(change.key);
+    return true;
+}
+
+} // namespace
+
+bool apply(endpoint_list& list,
+           const std::vector<entry_change>& changes,
+           std::uint64_t revision,
+           bool store_calm,
+           core::instant now)
+{
+    if (revision < list.revision) {
+        return false;
+    }
+    bool changed = false;
+    for (const auto& change : changes) {
+        changed = apply_one(list, change, store_calm, now) || changed;
+    }
+    list.revision = revision;
+    return changed;
+}
+
+bool replace(endpoint_list& list,
+             const std::vector<entry_change>& all,
+             std::uint64_t revision,
+             bool store_calm,
+             core::instant now)
+{
+    if (revision < list.revision) {
+        return false;
+    }
+    std::set<std::string> present;
+    bool changed = false;
+    for (const auto& change : all) {
+        present.insert(change.key);
+        changed = apply_one(list, change, store_calm, now) || changed;
+    }
+    std::vector<entry_change> missing;
+    for (const auto& [key, entry] : list.entries) {
+        if (!present.contains(key)) {
+            missing.push_back({.key = key, .now = {}, .removed = true});
+        }
+    }
+    for (const auto& change : missing) {
+        changed = apply_one(list, change, store_calm, now) || changed;
+    }
+    list.revision = revision;
+    return changed;
+}
+
+bool drop_lapsed(endpoint_list& list, core::instant now)
+{
+    bool changed = false;
+    for (auto place = list.lapsing.begin(); place != list.lapsing.end();) {
+        if (place->second > now) {
+            ++place;
+            continue;
+        }
+        changed = list.entries.erase(place->first) > 0 || changed;
+        place = list.lapsing.erase(place);
+    }
+    return changed;
+}
+
+} // namespace hibiscusfall::catalog
--- /dev/null
+++ b/src/catalog/route_table.cpp
@@ -0,0 +1,78 @@
+#include "hibiscusfall/catalog/route_table.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace hibiscusfall::catalog
+{
+
+namespace
+{
+
+std::string normalized_host(std::string_view host)
+{
+    const auto colon = host.rfind(':');
+    if (colon != std::string_view::npos) {
+        host = host.substr(0, colon);
+    }
+    std::string lower{host};
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return lower;
+}
+
+} // namespace
+
+void index_routes(route_table& table)
+{
+    table.by_host.clear();
+    for (std::size_t i = 0; i < table.routes.size(); ++i) {
+        table.by_host[normalized_host(table.routes[i].host)].push_back(i);
+    }
+    for (auto& [host, positions] : table.by_host) {
+        std::stable_sort(positions.begin(), positions.end(), [&](std::size_t left, std::size_t right) {
+            return table.routes[left].prefix.size() > table.routes[right].prefix.size();
+        });
+    }
+}
+
+const route* find_route(const route_table& table, std::string_view host, std::string_view path)
+{
+    const auto found = table.by_host.find(normalized_host(host));
+    if (found == table.by_host.end()) {
+        return nullptr;
+    }
+    path = path.substr(0, path.find('?'));
+    for (const auto position : found->second) {
+        if (path.starts_with(table.routes[position].prefix)) {
+            return &table.routes[position];
+        }
+    }
+    return nullptr;
+}
+
+const team* find_team(const route_table& table, std::string_view key)
+{
+    const auto found = table.keys.find(std::string{key});
+    return found == table.keys.end() ? nullptr : &table.teams[found->second];
+}
+
+const core::service_id& choose_service(const route& from, std::uint64_t draw)
+{
+    double total = 0;
+    for (const auto& each : from.services) {
+        total += each.weight;
+    }
+    constexpr std::uint64_t steps = 1U << 20U;
+    double position = total * static_cast<double>(draw % steps) / static_cast<double>(steps);
+    for (const auto& each : from.services) {
+        if (position < each.weight) {
+            return each.service;
+        }
+        position -= each.weight;
+    }
+    return from.services.back().service;
+}
+
+} // namespace hibiscusfall::catalog
--- /dev/null
+++ b/src/dispatch/fleet_book.cpp
@@ -0,0 +1,164 @@
+#include "hibiscusfall/dispatch/fleet_book.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace hibiscusfall::dispatch
+{
+
+namespace
+{
+
+std::uint32_t digest(std::string_view text, std::uint64_t seed)
+{
+    const auto value = static_cast<std::uint32_t>(XXH64(text.data(), text.size(), seed));
+    return value == 0 ? 1 : value;
+}
+
+/// Part of the connections that an endpoint accepts which is used, as some are in closing.
+constexpr double connection_part = 0.85;
+
+void set_properties(endpoint_state& state, const catalog::route_table& table, std::uint32_t instances)
+{
+    const auto service = table.services.find(state.entry.service);
+    if (service == table.services.end()) {
+        return;
+    }
+    const auto& engine = service->second.engine;
+    state.engine = engine.has_value();
+    state.batch = engine && engine->batch > 0 ? engine->batch : state.entry.slots;
+    state.memory_tokens = engine ? engine->memory_tokens : 0;
+    const auto most = service->second.max_connections;
+    state.max_connections =
+        most == 0 ? 0
+                  : std::max(4U, static_cast<std::uint32_t>(connection_part * most / std::max(1U, instances)));
+}
+
+void forget_running(fleet_book& book, peer_state& peer)
+{
+    for (auto& [tag, totals] : peer.endpoints) {
+        if (auto* state = find(book, tag)) {
+            state->model.others_running -= std::min(state->model.others_running, totals.running);
+        }
+        totals.running = 0;
+    }
+}
+
+} // namespace
+
+endpoint_tag tag_of(const catalog::endpoint& entry)
+{
+    return digest(entry.id.view(), static_cast<std::uint64_t>(entry.born_ms));
+}
+
+team_tag tag_of(const core::team_id& team)
+{
+    return digest(team.view(), 0);
+}
+
+endpoint_state* find(fleet_book& book, endpoint_tag tag) noexcept
+{
+    const auto found = std::find_if(
+        book.endpoints.begin(), book.endpoints.end(), [tag](const auto& each) { return each.tag == tag; });
+    return found == book.endpoints.end() ? nullptr : &*found;
+}
+
+void update_endpoints(fleet_book& book,
+                      const catalog::endpoint_list& list,
+                      const catalog::route_table& table,
+                      std::uint32_t instances)
+{
+    for (auto& state : book.endpoints) {
+        state.listed = false;
+    }
+    for (const auto& [key, entry] : list.entries) {
+        const auto tag = tag_of(entry);
+        auto* state = find(book, tag);
+        if (state == nullptr) {
+            state = &book.endpoints.emplace_back();
+            state->tag = tag;
+            for (const auto& [name, peer] : book.peers) {
+                const auto told = peer.endpoints.find(tag);
+                state->model.others_running += told == peer.endpoints.end() ? 0 : told->second.running;
+            }
+        }
+        state->entry = entry;
+        state->listed = !entry.draining;
+        set_properties(*state, table, instances);
+    }
+    std::erase_if(book.endpoints, [&](const endpoint_state& state) {
+        const bool done = !state.listed && state.model.own_running == 0;
+        if (done) {
+            forget_endpoint(book.parts, state.tag);
+        }
+        return done;
+    });
+}
+
+running_request
+note_sent(fleet_book& book, endpoint_tag endpoint, const prompt& prompt, core::instant now)
+{
+    const running_request request{.ticket = ++book.last_ticket, .endpoint = endpoint};
+    auto* state = find(book, endpoint);
+    if (state == nullptr) {
+        return request;
+    }
+    if (!state->engine) {
+        ++state->model.own_running;
+        return request;
+    }
+    const auto held =
+        look_up(book.parts, prompt.parts, endpoint, state->model.sent_total, state->memory_tokens);
+    const auto unread = prompt.tokens_in - std::min(prompt.tokens_in, held.kept);
+    note_sent(state->model, request.ticket, unread, now);
+    state->own_sent_total += unread;
+    for (const auto& part : prompt.parts) {
+        note_part(book.parts, part.id, endpoint, state->model.sent_total, now);
+    }
+    return request;
+}
+
+start_error note_started(fleet_book& book, running_request& request, core::instant now)
+{
+    request.started = true;
+    auto* state = find(book, request.endpoint);
+    return state == nullptr ? start_error{} : note_first_token(state->model, request.ticket, now);
+}
+
+void note_ended(fleet_book& book, const running_request& request, endpoint_sign sign, core::instant now)
+{
+    auto* state = find(book, request.endpoint);
+    if (state == nullptr) {
+        return;
+    }
+    state->model.own_running -= std::min(state->model.own_running, 1U);
+    if (!request.started) {
+        note_not_started(state->model, request.ticket);
+    }
+    note(state->health, sign, now);
+}
+
+bool reachable(const fleet_book& book, const core::failure_domain_id& domain, core::instant now)
+{
+    if (domain == book.own_domain) {
+        return true;
+    }
+    const auto found = book.domain_heard.find(domain);
+    return found == book.domain_heard.end() || now - found->second <= domain_silence;
+}
+
+void tidy(fleet_book& book, core::instant now)
+{
+    for (auto& [name, peer] : book.peers) {
+        if (now - peer.heard > peer_silence) {
+            forget_running(book, peer);
+        }
+    }
+    forget_old_parts(book.parts, now);
+    for (auto& state : book.endpoints) {
+        relax_speed(state.model);
+    }
+}
+
+} // namespace hibiscusfall::dispatch
--- /dev/null
+++ b/src/dispatch/placement.cpp
@@ -0,0 +1,242 @@
+#include "hibiscusfall/dispatch/placement.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace hibiscusfall::dispatch
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Part of the aim within which a first token has to be expected; the rest is for the model's error.
+constexpr double on_time_part = 0.85;
+/// Longest wait for the engine that a team beyond its share may cause.
+constexpr core::duration spare_wait = milliseconds{15};
+/// Wait in front of an engine that is always acceptable within a share: a few steps.
+constexpr core::duration short_wait = milliseconds{80};
+/// Milliseconds of a later first token that reading one shared token again is worth: 1,000 tokens read again
+/// cost the users' pages about 0.5 of a request's credit.
+constexpr double ms_per_token_read_again = 0.2;
+/// Weight of each millisecond beyond the aim.
+constexpr double late_weight = 3.0;
+constexpr double ms_per_recent_failure = 150.0;
+/// Streams that run slow each other down: added to the score when the batch is full, in ms.
+constexpr double full_batch_ms = 60.0;
+/// Mean time of a plain call, in ms, by which its queue is weighed.
+constexpr double plain_call_ms = 60.0;
+/// Calls that a plain endpoint may have waiting for each slot, over the fleet.
+constexpr std::uint32_t plain_queue_per_slot = 3;
+constexpr double other_domain_ms = 2.0; // a round trip between failure domains
+
+struct scored {
+    const endpoint_state* state = nullptr;
+    double score = std::numeric_limits<double>::max();
+    core::duration wait{};
+    core::duration first_token{};
+    std::uint32_t read_again = 0;
+};
+
+double to_ms(core::duration value)
+{
+    return static_cast<double>(value.count()) / 1000.0;
+}
+
+std::uint32_t running(const endpoint_state& state)
+{
+    return state.model.own_running + state.model.others_running;
+}
+
+bool eligible(const fleet_book& book,
+              const endpoint_state& state,
+              const candidate& request,
+              bool any_health,
+              core::instant now)
+{
+    if (!state.listed || state.entry.service != request.service) {
+        return false;
+    }
+    if (std::find(request.excluded.begin(), request.excluded.end(), state.tag) != request.excluded.end()) {
+        return false;
+    }
+    if (state.max_connections > 0 && state.model.own_running >= state.max_connections) {
+        return false;
+    }
+    return any_health || (!rests(state.health, now) && reachable(book, state.entry.domain, now));
+}
+
+double tie_break(const endpoint_state& state, std::uint64_t draw)
+{
+    const auto mixed = (draw ^ state.tag) * 0x9E3779B97F4A7C15ULL;
+    return static_cast<double>(mixed >> 44U) / static_cast<double>(1U << 20U);
+}
+
+scored score_engine(const fleet_book& book,
+                    const endpoint_state& state,
+                    const candidate& request,
+                    core::instant now)
+{
+    const auto& generation = *request.generation;
+    const auto held = look_up(
+        book.parts, generation.parts, state.tag, state.model.sent_total, state.memory_tokens);
+    const auto unread = generation.tokens_in - std::min(generation.tokens_in, held.kept);
+    scored result{.state = &state,
+                  .wait = expected_wait(state.model, now),
+                  .first_token = expected_first_token(state.model, unread, now),
+                  .read_again = held.read_again};
+    const double first_ms = to_ms(result.first_token);
+    const double late_ms = std::max(0.0, first_ms - on_time_part * to_ms(request.aim));
+    const double fill = state.batch == 0 ? 0.0 : static_cast<double>(running(state)) / state.batch;
+    result.score = first_ms + late_weight * late_ms + ms_per_token_read_again * held.read_again +
+                   full_batch_ms * fill * fill + ms_per_recent_failure * recent_failures(state.health, now) +
+                   (state.entry.domain == book.own_domain ? 0.0 : other_domain_ms) +
+                   tie_break(state, request.draw);
+    if (state.batch > 0 && running(state) >= state.batch) {
+        result.wait += milliseconds{300}; // until one of the running streams ends: they last some seconds
+        result.first_token += milliseconds{300};
+        result.score += late_weight * 300;
+    }
+    return result;
+}
+
+scored score_plain(const fleet_book& book,
+                   const endpoint_state& state,
+                   const candidate& request,
+                   core::instant now)
+{
+    const auto slots = std::max(1U, state.batch);
+    const double queue_ms = plain_call_ms * (running(state) + 1) / slots;
+    const double score = queue_ms + ms_per_recent_failure * recent_failures(state.health, now) +
+                         (state.entry.domain == book.own_domain ? 0.0 : other_domain_ms) +
+                         tie_break(state, request.draw);
+    const auto wait = running(state) < slots ? core::duration::zero()
+                                             : core::duration{static_cast<core::duration::rep>(
+                                                   1000.0 * plain_call_ms * (running(state) - slots + 1) / slots)};
+    return {.state = &state, .score = score, .wait = wait, .first_token = wait};
+}
+
+scored score_least(const endpoint_state& state, const candidate& request)
+{
+    return {.state = &state, .score = running(state) + tie_break(state, request.draw)};
+}
+
+scored best_of(const fleet_book& book,
+               const candidate& request,
+               policy how,
+               bool any_health,
+               core::instant now,
+               std::uint32_t& considered)
+{
+    scored best;
+    considered = 0;
+    for (const auto& state : book.endpoints) {
+        if (!eligible(book, state, request, any_health, now)) {
+            continue;
+        }
+        ++considered;
+        scored each = how == policy::least_in_flight ? score_least(state, request)
+                      : state.engine && request.generation != nullptr
+                          ? score_engine(book, state, request, now)
+                          : score_plain(book, state, request, now);
+        if (each.score < best.score) {
+            best = each;
+        }
+    }
+    return best;
+}
+
+/// Spreads the return of refused callers over the time after @p earliest, by the request's digest.
+core::duration spread(core::duration earliest, core::duration over, std::uint64_t draw)
+{
+    const double part = static_cast<double>((draw * 0x9E3779B97F4A7C15ULL) >> 40U) / (1U << 24U);
+    return earliest + core::duration{static_cast<core::duration::rep>(part * static_cast<double>(over.count()))};
+}
+
+void refuse(placement_decision& decision, core::failure reason, core::duration retry_after)
+{
+    decision.placed = false;
+    decision.reason = reason;
+    decision.retry_after = retry_after;
+}
+
+void admit_generation(placement_decision& decision,
+                      const fleet_book& book,
+                      const candidate& request,
+                      const scored& best,
+                      core::instant now)
+{
+    decision.within_share = within_share(book.shares, request.team, share_cost(*request.generation));
+    if (!decision.within_share) {
+        if (best.wait > spare_wait) {
+            // The share is that of a window: it is free again when the window has moved on.
+            refuse(decision, core::failure::queue_full, spread(book.shares.window / 4, book.shares.window, request.draw));
+        }
+        return;
+    }
+    const auto spent = core::elapsed(request.arrived, now);
+    const auto limit = core::duration{
+        static_cast<core::duration::rep>(on_time_part * static_cast<double>(request.aim.count()))};
+    const auto acceptable = std::max(limit - spent - (best.first_token - best.wait), short_wait);
+    if (best.wait > acceptable) {
+        refuse(decision,
+               core::failure::queue_full,
+               spread(best.wait - acceptable + milliseconds{200}, milliseconds{800}, request.draw));
+    }
+}
+
+} // namespace
+
+double share_cost(const prompt& generation)
+{
+    return generation.tokens_in + 2.0 * generation.tokens_out;
+}
+
+std::string_view to_string(policy how) noexcept
+{
+    switch (how) {
+    case policy::least_in_flight:
+        return "least_in_flight";
+    case policy::no_admission:
+        return "no_admission";
+    case policy::engine_model:
+        break;
+    }
+    return "engine_model";
+}
+
+placement_decision
+place(const fleet_book& book, const candidate& request, policy how, core::instant now)
+{
+    placement_decision decision;
+    auto best = best_of(book, request, how, false, now, decision.considered);
+    if (best.state == nullptr) {
+        // Better an endpoint that failed lately than a sure refusal.
+        best = best_of(book, request, how, true, now, decision.considered);
+    }
+    if (best.state == nullptr) {
+        refuse(decision, core::failure::no_endpoint, spread(milliseconds{500}, milliseconds{1000}, request.draw));
+        return decision;
+    }
+    decision.placed = true;
+    decision.endpoint = best.state->tag;
+    decision.expected = best.first_token;
+    decision.read_again = best.read_again;
+    if (now + best.wait >= request.deadline) {
+        refuse(decision, core::failure::deadline, spread(milliseconds{200}, milliseconds{500}, request.draw));
+        return decision;
+    }
+    if (how != policy::engine_model) {
+        return decision;
+    }
+    if (best.state->engine && request.generation != nullptr) {
+        admit_generation(decision, book, request, best, now);
+    } else if (running(*best.state) >= std::max(1U, best.state->batch) * (1 + plain_queue_per_slot)) {
+        refuse(decision, core::failure::queue_full, spread(best.wait / 2, milliseconds{300}, request.draw));
+    }
+    return decision;
+}
+
+} // namespace hibiscusfall::dispatch
--- /dev/null
+++ b/src/dispatch/team_shares.cpp
@@ -0,0 +1,88 @@
+#include "hibiscusfall/dispatch/team_shares.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace hibiscusfall::dispatch
+{
+
+namespace
+{
+
+void open_step(team_shares& shares)
+{
+    shares.step = (shares.step + 1) % team_window::steps;
+    for (auto& [tag, window] : shares.teams) {
+        window.asked[shares.step] = 0;
+        window.given[shares.step] = 0;
+        window.asked_sum = std::accumulate(window.asked.begin(), window.asked.end(), 0.0);
+        window.given_sum = std::accumulate(window.given.begin(), window.given.end(), 0.0);
+    }
+    std::erase_if(shares.teams, [](const auto& each) {
+        return each.second.asked_sum <= 0 && each.second.given_sum <= 0;
+    });
+}
+
+} // namespace
+
+double max_min_level(std::vector<double>& demands, double supply)
+{
+    std::sort(demands.begin(), demands.end());
+    double left = supply;
+    for (std::size_t i = 0; i < demands.size(); ++i) {
+        const double even = left / static_cast<double>(demands.size() - i);
+        if (demands[i] > even) {
+            return even;
+        }
+        left -= demands[i];
+    }
+    return 0;
+}
+
+void advance(team_shares& shares, core::instant now)
+{
+    const auto step_length = shares.window / team_window::steps;
+    if (now - shares.step_begun > shares.window) {
+        shares.step_begun = now - shares.window;
+    }
+    while (shares.step_begun + step_length <= now) {
+        shares.step_begun += step_length;
+        open_step(shares);
+    }
+    if (shares.tokens_per_second <= 0) {
+        shares.level = 0;
+        return;
+    }
+    std::vector<double> demands;
+    demands.reserve(shares.teams.size());
+    for (const auto& [tag, window] : shares.teams) {
+        demands.push_back(window.asked_sum);
+    }
+    const double seconds = std::chrono::duration<double>(shares.window).count();
+    shares.level = max_min_level(demands, shares.tokens_per_second * seconds);
+}
+
+void note_asked(team_shares& shares, team_tag team, double tokens)
+{
+    auto& window = shares.teams[team];
+    window.asked[shares.step] += tokens;
+    window.asked_sum += tokens;
+}
+
+void note_given(team_shares& shares, team_tag team, double tokens)
+{
+    auto& window = shares.teams[team];
+    window.given[shares.step] += tokens;
+    window.given_sum += tokens;
+}
+
+bool within_share(const team_shares& shares, team_tag team, double tokens)
+{
+    if (shares.level <= 0) {
+        return true;
+    }
+    const auto found = shares.teams.find(team);
+    return found == shares.teams.end() || found->second.given_sum + tokens <= shares.level;
+}
+
+} // namespace hibiscusfall::dispatch
--- /dev/null
+++ b/src/peers/load_report.cpp
@@ -0,0 +1,113 @@
+#include "hibiscusfall/peers/load_report.hpp"
+
+#include <algorithm>
+
+namespace hibiscusfall::peers
+{
+
+namespace
+{
+
+void take_endpoint(dispatch::fleet_book& book,
+                   dispatch::peer_state& peer,
+                   const endpoint_totals& told,
+                   core::instant now)
+{
+    const auto [place, added] = peer.endpoints.try_emplace(told.endpoint);
+    auto& known = place->second;
+    auto* state = dispatch::find(book, told.endpoint);
+    if (state != nullptr) {
+        // What a peer sent before it was first heard of has been read by now.
+        if (!added && told.sent > known.sent) {
+            dispatch::note_sent_elsewhere(state->model, told.sent - known.sent, now);
+        }
+        auto& running = state->model.others_running;
+        running = running - std::min(running, known.running) + told.running;
+    }
+    known = {.sent = std::max(known.sent, told.sent), .running = told.running};
+}
+
+void take_team(dispatch::fleet_book& book, dispatch::peer_state& peer, const team_totals& told)
+{
+    const auto [place, added] = peer.teams.try_emplace(told.team, told.asked, told.given);
+    auto& [asked, given] = place->second;
+    if (!added) {
+        if (told.asked > asked) {
+            dispatch::note_asked(book.shares, told.team, told.asked - asked);
+        }
+        if (told.given > given) {
+            dispatch::note_given(book.shares, told.team, told.given - given);
+        }
+    }
+    asked = told.asked;
+    given = told.given;
+}
+
+void start_anew(dispatch::fleet_book& book, dispatch::peer_state& peer)
+{
+    for (auto& [tag, totals] : peer.endpoints) {
+        if (auto* state = dispatch::find(book, tag)) {
+            auto& running = state->model.others_running;
+            running -= std::min(running, totals.running);
+        }
+    }
+    peer = {};
+}
+
+} // namespace
+
+std::string encode(const load_report& report)
+{
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, report);
+    return {buffer.data(), buffer.size()};
+}
+
+std::optional<load_report> decode(std::span<const char> datagram)
+{
+    try {
+        const auto handle = msgpack::unpack(datagram.data(), datagram.size());
+        auto report = handle.get().as<load_report>();
+        if (report.format != report_format || report.instance.empty()) {
+            return std::nullopt;
+        }
+        return report;
+    } catch (const msgpack::unpack_error&) {
+        return std::nullopt;
+    } catch (const msgpack::type_error&) {
+        return std::nullopt;
+    }
+}
+
+bool apply(dispatch::fleet_book& book, const load_report& report, core::instant now)
+{
+    auto& peer = book.peers[report.instance];
+    if (report.incarnation < peer.incarnation ||
+        (report.incarnation == peer.incarnation && report.sequence <= peer.sequence)) {
+        return false;
+    }
+    if (report.incarnation != peer.incarnation) {
+        start_anew(book, peer);
+        peer.incarnation = report.incarnation;
+    }
+    peer.sequence = report.sequence;
+    peer.heard = now;
+    peer.domain = core::failure_domain_id{report.domain};
+    if (peer.domain != book.own_domain) {
+        book.domain_heard[peer.domain] = now;
+    }
+    for (const auto& told : report.endpoints) {
+        take_endpoint(book, peer, told, now);
+    }
+    for (const auto& told : report.teams) {
+        take_team(book, peer, told);
+    }
+    for (const auto& part : report.parts) {
+        if (const auto* state = dispatch::find(book, part.endpoint)) {
+            dispatch::note_part(book.parts, part.part, part.endpoint, state->model.sent_total, now);
+        }
+    }
+    return true;
+}
+
+} // namespace hibiscusfall::peers
--- /dev/null
+++ b/src/relay/attempt.cpp
@@ -0,0 +1,335 @@
+#include "attempt.hpp"
+
+#include "refusal.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+using core::failure;
+using core::verdict;
+using dispatch::endpoint_sign;
+
+/// A connection inside a site stands within some ms; a lost opening packet is sent again after a second.
+constexpr core::duration connect_limit = std::chrono::milliseconds{400};
+/// Pause in a stream that can go on elsewhere after which it is moved; callers wait 2 s at least.
+constexpr core::duration resumable_pause_limit = std::chrono::milliseconds{1000};
+
+attempt_end failed(verdict outcome, endpoint_sign sign)
+{
+    return {.outcome = std::move(outcome), .sign = sign};
+}
+
+std::string request_bytes(const request_state& state, const dispatch::endpoint_state& endpoint, core::instant now)
+{
+    request_head head{state.request.base()};
+    const auto end = state.route->kind == catalog::route_kind::stream
+                         ? state.deadline
+                         : std::min(state.deadline, state.timeout_at);
+    const bool resumes = state.events.last_id.has_value();
+    state.owner.speak.prepare_forwarding(
+        head,
+        {.time_left = core::elapsed(now, end),
+         .endpoint = &endpoint.entry.id,
+         .team = state.team == nullptr ? nullptr : &state.team->id,
+         .last_event_id = resumes ? std::string_view{*state.events.last_id} : std::string_view{}});
+    std::string text{to_view(head.method_string())};
+    text += ' ';
+    text += to_view(head.target());
+    text += " HTTP/1.1\r\n";
+    for (const auto& field : head) {
+        text += to_view(field.name_string());
+        text += ": ";
+        text += to_view(field.value());
+        text += "\r\n";
+    }
+    const bool has_body = !state.request.body().empty() || head.method() == http::verb::post ||
+                          head.method() == http::verb::put || head.method() == http::verb::patch;
+    if (has_body) {
+        text += "Content-Length: " + std::to_string(state.request.body().size()) + "\r\n";
+    }
+    text += "\r\n";
+    return text;
+}
+
+/// The verdict of an answer that did not come whole.
+attempt_end no_answer(const request_state& state, const endpoint_link& link, answer_end end)
+{
+    if (state.caller.gone()) {
+        return {.outcome = verdict::may_have_run(failure::caller_gone, "the caller closed its connection"),
+                .caller_gone = true};
+    }
+    if (end == answer_end::timed_out) {
+        auto result = failed(verdict::may_have_run(failure::deadline, "the endpoint did not answer in time"),
+                             endpoint_sign::failed);
+        result.timed_out = true;
+        return result;
+    }
+    if (end == answer_end::garbled) {
+        return failed(verdict::may_have_run(failure::garbled_answer, "the endpoint's answer cannot be read"),
+                      endpoint_sign::failed);
+    }
+    if (link.send_failed && link.sent_bytes == 0) {
+        return failed(verdict::not_run(failure::connection_failed, "the connection closed before the request"),
+                      endpoint_sign::failed);
+    }
+    return failed(verdict::may_have_run(failure::connection_broken, "the connection broke before the answer"),
+                  endpoint_sign::failed);
+}
+
+/// Judges a whole answer that is not a success, or is no valid one.
+attempt_end judge(const answer_facts& facts, kept_answer answer)
+{
+    if (facts.not_run) {
+        return failed(verdict::not_run(failure::endpoint_refused, "the endpoint refused the request"),
+                      endpoint_sign::refused);
+    }
+    if (!facts.is_signed) {
+        return failed(verdict::may_have_run(failure::garbled_answer, "the answer is not signed"),
+                      endpoint_sign::failed);
+    }
+    const bool fault = answer.status >= 500;
+    attempt_end result{.outcome = verdict::may_have_run(failure::endpoint_refused,
+                                                        "the endpoint answered " + std::to_string(answer.status)),
+                       .sign = fault ? endpoint_sign::failed : endpoint_sign::good};
+    result.answer = std::move(answer);
+    return result;
+}
+
+asio::awaitable<attempt_end> relay_whole(request_state& state,
+                                         std::shared_ptr<endpoint_link> link,
+                                         std::unique_ptr<head_parser> head)
+{
+    whole_parser parser{std::move(*head)};
+    head.reset();
+    const auto end = co_await read_rest(link, parser);
+    if (end != answer_end::good) {
+        link->close();
+        co_return no_answer(state, *link, end);
+    }
+    const auto facts = state.owner.speak.read_answer(parser.get());
+    if (facts.idle_timeout) {
+        link->note_idle_timeout(*facts.idle_timeout);
+    }
+    if (!parser.get().keep_alive() || parser.need_eof()) {
+        link->broken = true;
+    }
+    kept_answer answer{.status = parser.get().result_int(),
+                       .head = answer_fields(parser.get()),
+                       .body = std::move(parser.get().body())};
+    const bool success = answer.status >= 200 && answer.status < 300;
+    if (!success || !facts.is_signed || facts.request_id.empty()) {
+        co_return judge(facts, std::move(answer));
+    }
+    co_await deliver(state, answer);
+    attempt_end result{.outcome = verdict::ran(), .delivered = !state.caller.gone()};
+    result.caller_gone = state.caller.gone();
+    co_return result;
+}
+
+std::string chunk_head(std::size_t bytes)
+{
+    std::array<char, 24> digits{};
+    const int length = std::snprintf(digits.data(), digits.size(), "%zx\r\n", bytes);
+    return {digits.data(), static_cast<std::size_t>(length)};
+}
+
+asio::awaitable<void> send_stream_head(request_state& state, const answer_head& head)
+{
+    state.head_sent = true;
+    std::string text = answer_fields(head) + "Transfer-Encoding: chunked\r\n";
+    text += state.caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    co_await state.caller.write("HTTP/1.1 " + std::to_string(head.result_int()) + " " +
+                                    std::string{reason_of(head.result_int())} + "\r\n",
+                                text);
+}
+
+/// Passes whole events on until the stream ends.
+asio::awaitable<attempt_end> relay_events(request_state& state,
+                                          std::shared_ptr<endpoint_link> link,
+                                          std::unique_ptr<head_parser> head,
+                                          dispatch::running_request& running,
+                                          core::instant limit)
+{
+    piece_parser parser{std::move(*head)};
+    head.reset();
+    const auto facts = state.owner.speak.read_answer(parser.get());
+    if (facts.idle_timeout) {
+        link->note_idle_timeout(*facts.idle_timeout);
+    }
+    std::string piece;
+    while (true) {
+        link->expires = !running.started          ? limit
+                        : state.route->resumable ? event_loop::now() + resumable_pause_limit
+                                                 : state.deadline;
+        link->expires = std::min(link->expires, state.deadline);
+        const auto end = co_await read_piece(link, parser, piece);
+        if (end != answer_end::good) {
+            link->close();
+            co_return no_answer(state, *link, end);
+        }
+        if (piece.empty()) {
+            break;
+        }
+        if (traffic::feed(state.events, piece) != traffic::scan_fault::none) {
+            link->close();
+            co_return failed(verdict::may_have_run(failure::garbled_answer, "the stream's events do not follow"),
+                             endpoint_sign::failed);
+        }
+        if (state.events.ready.empty()) {
+            continue;
+        }
+        if (!running.started) {
+            const auto now = event_loop::now();
+            const auto error = dispatch::note_started(state.owner.book, running, now);
+            state.owner.first_bytes.record(error.seen);
+        }
+        if (!state.head_sent) {
+            co_await send_stream_head(state, parser.get());
+        }
+        const auto ready = std::move(state.events.ready);
+        state.events.ready.clear();
+        if (!co_await state.caller.write(chunk_head(ready.size()), ready + "\r\n")) {
+            link->close();
+            co_return no_answer(state, *link, answer_end::closed);
+        }
+    }
+    if (!state.events.partial.empty()) {
+        link->close();
+        co_return failed(verdict::may_have_run(failure::connection_broken, "the stream ended inside an event"),
+                         endpoint_sign::failed);
+    }
+    if (!parser.get().keep_alive() || parser.need_eof()) {
+        link->broken = true;
+    }
+    if (!state.head_sent) {
+        co_await send_stream_head(state, parser.get());
+    }
+    const bool written = co_await state.caller.write("0\r\n\r\n", {});
+    attempt_end result{.outcome = verdict::ran(), .delivered = written};
+    result.caller_gone = !written;
+    co_return result;
+}
+
+/// Reads and relays the answer on a connection that the request was sent on.
+asio::awaitable<attempt_end> relay_answer(request_state& state,
+                                          std::shared_ptr<endpoint_link> link,
+                                          dispatch::running_request& running,
+                                          core::instant limit)
+{
+    link->timed_out = false;
+    link->expires = limit;
+    std::unique_ptr<head_parser> head;
+    const auto end = co_await read_head(link,
+                                        state.owner.speak,
+                                        state.facts.id,
+                                        state.request.method() == http::verb::head,
+                                        head,
+                                        state.owner.counters.foreign_answers);
+    if (end != answer_end::good) {
+        link->close();
+        co_return no_answer(state, *link, end);
+    }
+    if (auto* endpoint = dispatch::find(state.owner.book, link->endpoint)) {
+        endpoint->heard = event_loop::now();
+        if (endpoint->entry.domain != state.owner.book.own_domain) {
+            state.owner.book.domain_heard[endpoint->entry.domain] = endpoint->heard;
+        }
+    }
+    const auto facts = state.owner.speak.read_answer(head->get());
+    const bool success = head->get().result_int() / 100 == 2;
+    if (state.route->kind == catalog::route_kind::stream && success && facts.is_signed &&
+        !facts.request_id.empty()) {
+        co_return co_await relay_events(state, link, std::move(head), running, limit);
+    }
+    link->expires = std::min(state.deadline, std::max(limit, event_loop::now()));
+    co_return co_await relay_whole(state, link, std::move(head));
+}
+
+asio::awaitable<std::shared_ptr<endpoint_link>>
+get_link(request_state& state, const dispatch::endpoint_state& endpoint)
+{
+    const bool fresh = !state.route->repeatable();
+    auto link = state.owner.links->take_idle(endpoint.tag, fresh);
+    if (link) {
+        co_return link;
+    }
+    link = state.owner.links->make(endpoint.tag);
+    state.caller.work_on(link);
+    const auto address = endpoint.entry.address;
+    const auto left = core::elapsed(event_loop::now(), state.deadline);
+    const bool connected = co_await connect(link, address, std::min(connect_limit, left));
+    if (!connected) {
+        co_return nullptr;
+    }
+    co_return link;
+}
+
+} // namespace
+
+std::string answer_fields(const answer_head& head)
+{
+    http::fields fields{head};
+    remove_connection_headers(fields, [](std::string_view) { return false; });
+    fields.erase(http::field::content_length);
+    std::string text;
+    for (const auto& field : fields) {
+        text += to_view(field.name_string());
+        text += ": ";
+        text += to_view(field.value());
+        text += "\r\n";
+    }
+    return text;
+}
+
+asio::awaitable<void> deliver(request_state& state, const kept_answer& answer)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    head += reason_of(answer.status);
+    head += "\r\n" + answer.head;
+    if (answer.status != 204 && answer.status != 304) {
+        head += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+    }
+    head += state.caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    state.head_sent = true;
+    co_await state.caller.write(head, answer.body);
+}
+
+asio::awaitable<attempt_end>
+run_attempt(request_state& state, dispatch::running_request& running, core::instant limit)
+{
+    const auto* endpoint = dispatch::find(state.owner.book, running.endpoint);
+    if (endpoint == nullptr) {
+        co_return failed(verdict::not_run(failure::no_endpoint, "the endpoint is gone"), endpoint_sign::good);
+    }
+    const auto chosen = *endpoint; // the book may change while this coroutine waits
+    auto link = co_await get_link(state, chosen);
+    if (!link || state.caller.gone()) {
+        if (link) {
+            state.owner.links->give_back(link);
+        }
+        if (state.caller.gone()) {
+            co_return attempt_end{.outcome = verdict::not_run(failure::caller_gone, "the caller left"),
+                                  .caller_gone = true};
+        }
+        co_return failed(verdict::not_run(failure::connection_failed, "no connection to the endpoint"),
+                         endpoint_sign::unreachable);
+    }
+    state.caller.work_on(link);
+    begin_sending(link, request_bytes(state, chosen, event_loop::now()), state.request.body());
+    auto end = co_await relay_answer(state, link, running, limit);
+    state.caller.work_on(nullptr);
+    if (end.caller_gone) {
+        link->close();
+    }
+    state.owner.links->give_back(link);
+    co_return end;
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/caller_session.cpp
@@ -0,0 +1,253 @@
+#include "caller_session.hpp"
+
+#include "refusal.hpp"
+#include "request_run.hpp"
+
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 8192;
+constexpr core::duration closing_time = std::chrono::milliseconds{500};
+/// A caller that takes none of its answer for this long is taken as gone: callers abandon a stream after a
+/// pause of 2 s or more.
+constexpr core::duration write_limit = std::chrono::seconds{8};
+/// Idle time of a connection while no configuration states one.
+constexpr core::duration default_idle_timeout = std::chrono::seconds{15};
+
+catalog::request_limits limits_of(const entry& owner)
+{
+    return owner.table ? owner.table->limits : catalog::request_limits{};
+}
+
+/// Whether the body's length is stated in one plain way, so that no part of it can pass as another request.
+bool framing_is_plain(const request_head& head)
+{
+    const auto encodings = head.count(http::field::transfer_encoding);
+    const auto lengths = head.count(http::field::content_length);
+    if (encodings > 1 || lengths > 1 || (encodings > 0 && lengths > 0)) {
+        return false;
+    }
+    return encodings == 0 || beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
+} // namespace
+
+caller_session::caller_session(entry& parent, tcp::socket accepted)
+    : owner(parent), socket(std::move(accepted))
+{
+}
+
+caller_session::~caller_session()
+{
+    this->owner.sessions.erase(this);
+}
+
+asio::awaitable<void> caller_session::run()
+{
+    const auto self = this->shared_from_this();
+    while (this->socket.is_open() && this->keep_open) {
+        if (this->buffer.size() == 0) {
+            this->buffer = {};
+            this->waiting = true;
+            const auto limits = limits_of(this->owner);
+            this->expires = event_loop::now() + (this->owner.table ? limits.idle_timeout : default_idle_timeout);
+            error_code error;
+            co_await this->socket.async_wait(tcp::socket::wait_read,
+                                             asio::redirect_error(asio::use_awaitable, error));
+            this->waiting = false;
+            if (error) {
+                break;
+            }
+        }
+        auto parser = std::make_unique<request_parser>();
+        const auto end = co_await this->receive(*parser);
+        if (end == reading_end::closed) {
+            break;
+        }
+        if (end != reading_end::whole) {
+            co_await this->answer_unreadable(end);
+            break;
+        }
+        this->expires = core::instant::max();
+        auto request = parser->release();
+        parser.reset();
+        this->keep_open = request.keep_alive();
+        this->watch_caller();
+        co_await run_request(this->owner, *this, request);
+        this->stop_watching();
+        this->current.reset();
+        if (this->caller_gone || !this->keeps_open()) {
+            break;
+        }
+    }
+    co_await this->close_gently();
+}
+
+asio::awaitable<reading_end> caller_session::receive(request_parser& parser)
+{
+    const auto limits = limits_of(this->owner);
+    parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+    parser.body_limit(limits.body_bytes);
+    parser.eager(true);
+    this->expires = event_loop::now() + limits.head_timeout;
+    bool asked_to_continue = false;
+    while (!parser.is_done()) {
+        error_code error;
+        if (this->buffer.size() > 0) {
+            this->buffer.consume(parser.put(this->buffer.data(), error));
+            if (error == http::error::header_limit) {
+                co_return reading_end::head_too_large;
+            }
+            if (error == http::error::body_limit) {
+                co_return reading_end::body_too_large;
+            }
+            if (error && error != http::error::need_more) {
+                co_return reading_end::malformed;
+            }
+            if (parser.is_header_done() && !framing_is_plain(parser.get())) {
+                co_return reading_end::malformed;
+            }
+            if (parser.is_done()) {
+                break;
+            }
+        }
+        if (parser.is_header_done() && !asked_to_continue) {
+            asked_to_continue = true;
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+                co_await this->write("HTTP/1.1 100 Continue\r\n\r\n", {});
+            }
+        }
+        const auto room = this->buffer.prepare(read_bytes);
+        const auto got = co_await this->socket.async_read_some(
+            room, asio::redirect_error(asio::use_awaitable, error));
+        this->buffer.commit(got);
+        if (error) {
+            co_return this->timed_out ? reading_end::too_slow : reading_end::closed;
+        }
+        if (parser.is_header_done()) {
+            this->expires = event_loop::now() + limits.head_timeout;
+        }
+    }
+    co_return reading_end::whole;
+}
+
+asio::awaitable<void> caller_session::answer_unreadable(reading_end end)
+{
+    this->keep_open = false;
+    refusal answer;
+    switch (end) {
+    case reading_end::head_too_large:
+        answer = {.status = 431, .code = "too-large", .detail = "the head is larger than allowed"};
+        break;
+    case reading_end::body_too_large:
+        answer = {.status = 413, .code = "too-large", .detail = "the body is larger than allowed"};
+        break;
+    case reading_end::too_slow:
+        answer = {.status = 408, .code = "receive-timeout", .detail = "the request did not arrive in time"};
+        break;
+    default:
+        answer = {.status = 400, .code = "malformed", .detail = "the request cannot be read"};
+        break;
+    }
+    ++this->owner.counters.rejected;
+    this->timed_out = false;
+    co_await send_refusal(this->owner, *this, {}, answer);
+}
+
+asio::awaitable<bool> caller_session::write(std::string_view head, std::string_view body)
+{
+    if (this->caller_gone) {
+        co_return false;
+    }
+    const std::array<asio::const_buffer, 2> pieces{asio::buffer(head.data(), head.size()),
+                                                   asio::buffer(body.data(), body.size())};
+    const auto before = this->expires;
+    this->expires = event_loop::now() + write_limit;
+    error_code error;
+    co_await asio::async_write(this->socket, pieces, asio::redirect_error(asio::use_awaitable, error));
+    this->expires = before;
+    if (error) {
+        this->note_gone();
+        co_return false;
+    }
+    co_return !this->caller_gone;
+}
+
+void caller_session::watch_caller()
+{
+    this->watch = ++this->watches;
+    this->socket.async_wait(
+        tcp::socket::wait_read, [self = this->shared_from_this(), number = this->watch](error_code error) {
+            if (error || self->watch != number) {
+                return;
+            }
+            char byte = 0;
+            const auto got = ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                self->note_gone();
+            }
+            // A further request waits until the one under way is answered.
+        });
+}
+
+void caller_session::stop_watching()
+{
+    this->watch = 0;
+    error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+void caller_session::note_gone()
+{
+    this->caller_gone = true;
+    if (this->current) {
+        this->current->close();
+    }
+}
+
+void caller_session::sweep(core::instant now)
+{
+    if (this->expires > now || this->timed_out) {
+        return;
+    }
+    this->timed_out = true;
+    error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+void caller_session::close_if_idle()
+{
+    if (this->waiting) {
+        this->keep_open = false;
+        error_code ignored;
+        this->socket.cancel(ignored);
+    }
+}
+
+asio::awaitable<void> caller_session::close_gently()
+{
+    error_code error;
+    this->socket.shutdown(tcp::socket::shutdown_send, error);
+    // What the caller still sends is taken, since a close with unread bytes would reset the last answer.
+    this->timed_out = false;
+    this->expires = event_loop::now() + closing_time;
+    std::array<char, 512> dropped{};
+    while (!error && !this->caller_gone && !this->timed_out) {
+        co_await this->socket.async_read_some(asio::buffer(dropped),
+                                              asio::redirect_error(asio::use_awaitable, error));
+    }
+    this->socket.close(error);
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/dialect.cpp
@@ -0,0 +1,37 @@
+#include "hibiscusfall/relay/dialect.hpp"
+
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <vector>
+
+namespace hibiscusfall::relay
+{
+
+void remove_connection_headers(http::fields& fields, bool (*kept)(std::string_view name))
+{
+    std::vector<std::string> named;
+    const auto range = fields.equal_range(http::field::connection);
+    for (auto place = range.first; place != range.second; ++place) {
+        for (const auto token : http::token_list{place->value()}) {
+            if (!kept(to_view(token))) {
+                named.emplace_back(token);
+            }
+        }
+    }
+    for (const auto& name : named) {
+        fields.erase(name);
+    }
+    for (const auto name : {http::field::connection,
+                            http::field::keep_alive,
+                            http::field::proxy_authenticate,
+                            http::field::proxy_authorization,
+                            http::field::proxy_connection,
+                            http::field::te,
+                            http::field::trailer,
+                            http::field::transfer_encoding,
+                            http::field::upgrade}) {
+        fields.erase(name);
+    }
+}
+
+} // namespace hibiscusfall::relay
--- /dev/null
+++ b/src/relay/endpoint_answer.cpp
@@ -0,0 +1,161 @@
+#include "endpoint_answer.hpp"
+
+#include <array>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+constexpr std::size_t read_bytes = 4096;
+constexpr std::size_t piece_bytes = 4096;
+/// Answers of other requests that may stand in front of the one awaited.
+constexpr int most_foreign_answers = 3;
+constexpr std::uint64_t largest_answer = 64U << 20U;
+
+/// Receives more bytes into the link's buffer.
+asio::awaitable<answer_end> receive(std::shared_ptr<endpoint_link> link, bool& ended)
+{
+    error_code error;
+    const auto room = link->buffer.prepare(read_bytes);
+    const auto got =
+        co_await link->socket.async_read_some(room, asio::redirect_error(asio::use_awaitable, error));
+    link->buffer.commit(got);
+    ended = error == asio::error::eof;
+    if (!error) {
+        co_return answer_end::good;
+    }
+    co_return link->timed_out ? answer_end::timed_out : answer_end::closed;
+}
+
+/// Feeds what was received to a parser until it is done, or the head is.
+template <class parser_type>
+asio::awaitable<answer_end>
+read_with(std::shared_ptr<endpoint_link> link, parser_type& parser, bool head_only)
+{
+    while (!(head_only ? parser.is_header_done() : parser.is_done())) {
+        error_code error;
+        if (link->buffer.size() > 0) {
+            const auto used = parser.put(link->buffer.data(), error);
+            link->buffer.consume(used);
+            if (error && error != http::error::need_more) {
+                co_return answer_end::garbled;
+            }
+            if (!error && used > 0) {
+                continue;
+            }
+        }
+        bool ended = false;
+        const auto end = co_await receive(link, ended);
+        if (ended && parser.is_header_done()) {
+            parser.put_eof(error);
+            co_return !error && parser.is_done() ? answer_end::good : answer_end::closed;
+        }
+        if (end != answer_end::good) {
+            co_return end;
+        }
+    }
+    co_return answer_end::good;
+}
+
+} // namespace
+
+void begin_sending(const std::shared_ptr<endpoint_link>& link, std::string head, std::string_view body)
+{
+    link->request = std::move(head);
+    link->request += body;
+    link->sent_bytes = 0;
+    link->sent_all = false;
+    link->send_failed = false;
+    asio::async_write(link->socket,
+                      asio::buffer(link->request),
+                      [link](error_code error, std::size_t bytes) {
+                          link->sent_bytes = bytes;
+                          link->sent_all = !error;
+                          link->send_failed = bool{error};
+                      });
+}
+
+asio::awaitable<answer_end> read_head(std::shared_ptr<endpoint_link> link,
+                                      const dialect& speak,
+                                      std::string_view request_id,
+                                      bool head_request,
+                                      std::unique_ptr<head_parser>& result,
+                                      std::uint64_t& foreign_answers)
+{
+    for (int dropped = 0; dropped <= most_foreign_answers; ++dropped) {
+        result = std::make_unique<head_parser>();
+        result->skip(head_request);
+        result->body_limit(largest_answer);
+        const auto end = co_await read_with(link, *result, true);
+        if (end != answer_end::good) {
+            co_return end;
+        }
+        const auto facts = speak.read_answer(result->get());
+        if (facts.request_id.empty() || facts.request_id == request_id) {
+            co_return answer_end::good;
+        }
+        ++foreign_answers;
+        if (result->need_eof()) {
+            co_return answer_end::garbled;
+        }
+        whole_parser foreign{std::move(*result)};
+        const auto rest = co_await read_with(link, foreign, false);
+        if (rest != answer_end::good) {
+            co_return rest;
+        }
+    }
+    co_return answer_end::garbled;
+}
+
+asio::awaitable<answer_end> read_rest(std::shared_ptr<endpoint_link> link, whole_parser& parser)
+{
+    return read_with(std::move(link), parser, false);
+}
+
+asio::awaitable<answer_end>
+read_piece(std::shared_ptr<endpoint_link> link, piece_parser& parser, std::string& piece)
+{
+    std::array<char, piece_bytes> room{};
+    piece.clear();
+    while (!parser.is_done()) {
+        error_code error;
+        if (link->buffer.size() > 0) {
+            auto& body = parser.get().body();
+            body.data = room.data();
+            body.size = room.size();
+            const auto used = parser.put(link->buffer.data(), error);
+            link->buffer.consume(used);
+            piece.append(room.data(), room.size() - body.size);
+            if (error == http::error::need_buffer) {
+                error = {};
+            }
+            if (error && error != http::error::need_more) {
+                co_return answer_end::garbled;
+            }
+            if (used > 0 && !error) {
+                continue; // take all that is there before it is handed on
+            }
+        }
+        if (!piece.empty()) {
+            co_return answer_end::good;
+        }
+        bool ended = false;
+        const auto end = co_await receive(link, ended);
+        if (ended) {
+            parser.put_eof(error);
+            co_return !error && parser.is_done() ? answer_end::good : answer_end::closed;
+        }
+        if (end != answer_end::good) {
+            co_return end;
+        }
+    }
+    co_return answer_end::good;
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/endpoint_link.cpp
@@ -0,0 +1,156 @@
+#include "endpoint_link.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+/// Idle time after which a connection is not reused when the endpoint states no timeout of its own.
+constexpr core::duration default_idle_limit = std::chrono::seconds{4};
+/// Part of the endpoint's idle timeout that is used: the endpoint's clock starts earlier.
+constexpr int idle_part_percent = 60;
+/// Idle time up to which an endpoint's close can hardly cross a request.
+constexpr core::duration fresh_limit = std::chrono::milliseconds{700};
+constexpr std::size_t kept_buffer_bytes = 4096;
+/// Unacknowledged bytes for this long mean that the path is gone. Above the longest pause of a stream.
+constexpr unsigned user_timeout_ms = 2500;
+
+/// Whether the other side has neither closed nor sent anything since the last answer.
+bool clean_and_open(endpoint_link& link)
+{
+    char byte = 0;
+    const auto got = ::recv(link.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+void endpoint_link::close() noexcept
+{
+    this->broken = true;
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+void endpoint_link::note_idle_timeout(core::duration stated) noexcept
+{
+    this->idle_limit = stated * idle_part_percent / 100;
+}
+
+std::shared_ptr<endpoint_link> link_pool::take_idle(dispatch::endpoint_tag endpoint, bool fresh)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found == this->idle.end()) {
+        return nullptr;
+    }
+    auto& waiting = found->second;
+    const auto now = event_loop::now();
+    while (!waiting.empty()) {
+        if (fresh && waiting.back()->idle_since + fresh_limit < now) {
+            return nullptr;
+        }
+        auto link = std::move(waiting.back());
+        waiting.pop_back();
+        if (link->idle_since + link->idle_limit > now && clean_and_open(*link)) {
+            link->reused = true;
+            return link;
+        }
+        link->close();
+    }
+    return nullptr;
+}
+
+std::shared_ptr<endpoint_link> link_pool::make(dispatch::endpoint_tag endpoint)
+{
+    auto link = std::make_shared<endpoint_link>(this->loop.context());
+    link->endpoint = endpoint;
+    link->idle_limit = default_idle_limit;
+    this->links.push_back(link);
+    ++this->made;
+    return link;
+}
+
+void link_pool::give_back(const std::shared_ptr<endpoint_link>& link)
+{
+    if (link->broken || !link->socket.is_open() || !link->sent_all || link->buffer.size() > 0) {
+        link->close();
+        return;
+    }
+    link->expires = core::instant::max();
+    link->idle_since = event_loop::now();
+    link->request = {};
+    if (link->buffer.capacity() > kept_buffer_bytes) {
+        link->buffer = {};
+    }
+    this->idle[link->endpoint].push_back(link);
+}
+
+void link_pool::sweep(core::instant now)
+{
+    for (auto& [endpoint, waiting] : this->idle) {
+        std::erase_if(waiting, [now](const auto& link) {
+            const bool overdue = link->idle_since + link->idle_limit <= now;
+            if (overdue) {
+                link->close();
+            }
+            return overdue;
+        });
+    }
+    std::erase_if(this->links, [now](const auto& each) {
+        const auto link = each.lock();
+        if (link && link->expires <= now && !link->timed_out) {
+            link->timed_out = true;
+            error_code ignored;
+            link->socket.cancel(ignored);
+        }
+        return !link;
+    });
+}
+
+void link_pool::drop_idle(dispatch::endpoint_tag endpoint)
+{
+    const auto found = this->idle.find(endpoint);
+    if (found != this->idle.end()) {
+        for (const auto& link : found->second) {
+            link->close();
+        }
+        this->idle.erase(found);
+    }
+}
+
+asio::awaitable<bool>
+connect(std::shared_ptr<endpoint_link> link, core::address to, core::duration limit)
+{
+    error_code error;
+    const auto ip = asio::ip::make_address_v4(to.host, error);
+    if (error) {
+        co_return false;
+    }
+    link->expires = event_loop::now() + limit;
+    link->timed_out = false;
+    co_await link->socket.async_connect(tcp::endpoint{ip, to.port},
+                                        asio::redirect_error(asio::use_awaitable, error));
+    if (error || link->timed_out || link->broken) {
+        link->close();
+        co_return false;
+    }
+    error_code ignored;
+    link->socket.set_option(tcp::no_delay{true}, ignored);
+    const int descriptor = link->socket.native_handle();
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
+    link->expires = core::instant::max();
+    co_return true;
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/entry.cpp
@@ -0,0 +1,217 @@
+#include "hibiscusfall/relay/entry.hpp"
+
+#include "caller_session.hpp"
+#include "endpoint_link.hpp"
+
+#include "hibiscusfall/telemetry/log_event.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace hibiscusfall::relay
+{
+
+namespace
+{
+
+using detail::error_code;
+using detail::tcp;
+using std::chrono::milliseconds;
+
+constexpr core::duration sweep_interval = milliseconds{25};
+/// After an order to stop, new connections still come until the balancer has asked twice, once a second.
+constexpr core::duration still_accepting = milliseconds{2600};
+/// The process ends by itself this much before it would be killed.
+constexpr core::duration end_margin = milliseconds{250};
+constexpr core::duration accept_pause = milliseconds{20};
+constexpr int backlog = 1024;
+
+tcp::acceptor open(event_loop& loop, const core::address& at)
+{
+    tcp::acceptor acceptor{loop.context()};
+    const tcp::endpoint where{asio::ip::make_address_v4(at.host), at.port};
+    acceptor.open(where.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address{true});
+    acceptor.bind(where);
+    acceptor.listen(backlog);
+    return acceptor;
+}
+
+/// Answers the balancer's questions on one connection until it is closed.
+asio::awaitable<void> answer_readiness(const entry& owner, tcp::socket asked)
+{
+    constexpr std::size_t request_bytes = 1024;
+    std::array<char, request_bytes> request{};
+    error_code failed;
+    while (true) {
+        const auto length = co_await asked.async_read_some(
+            asio::buffer(request), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed || length == 0) {
+            co_return;
+        }
+        const std::string text = std::string{"HTTP/1.1 "} +
+                                 (owner.ready() ? "200 OK" : "503 Service Unavailable") +
+                                 "\r\nContent-Length: 0\r\n\r\n";
+        co_await asio::async_write(
+            asked, asio::buffer(text), asio::redirect_error(asio::use_awaitable, failed));
+        if (failed) {
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+struct entry::listeners {
+    tcp::acceptor callers;
+    tcp::acceptor readiness;
+};
+
+entry::entry(event_loop& loop_in_use, const dialect& speech, entry_options settings)
+    : loop(loop_in_use), speak(speech), options(std::move(settings)),
+      links(std::make_unique<detail::link_pool>(loop_in_use))
+{
+    this->book.own_domain = this->options.domain;
+    this->book.shares.window = this->options.share_window;
+    this->book.shares.step_begun = event_loop::now();
+}
+
+entry::~entry() = default;
+
+void entry::use(std::shared_ptr<const catalog::route_table> newest)
+{
+    if (this->table && newest->version < this->table->version) {
+        return;
+    }
+    this->table = std::move(newest);
+    this->book.shares.tokens_per_second = this->table->limits.tokens_per_second;
+    dispatch::update_endpoints(this->book, this->endpoints, *this->table, this->instances);
+}
+
+void entry::use(const catalog::endpoint_list& newest)
+{
+    this->endpoints = newest;
+    this->endpoints_known = true;
+    static const catalog::route_table none;
+    dispatch::update_endpoints(this->book, this->endpoints, this->table ? *this->table : none, this->instances);
+    for (const auto& state : this->book.endpoints) {
+        if (!state.listed) {
+            this->links->drop_idle(state.tag);
+        }
+    }
+}
+
+void entry::set_instances(std::uint32_t count)
+{
+    if (count != this->instances && this->table) {
+        this->instances = count;
+        dispatch::update_endpoints(this->book, this->endpoints, *this->table, count);
+    }
+    this->instances = count;
+}
+
+bool entry::ready() const noexcept
+{
+    return this->table && this->endpoints_known && !this->leaving;
+}
+
+void entry::listen()
+{
+    this->listening = std::make_unique<listeners>(
+        listeners{open(this->loop, this->options.callers), open(this->loop, this->options.readiness)});
+    asio::co_spawn(this->loop.context(), this->accept_callers(), asio::detached);
+    asio::co_spawn(this->loop.context(), this->accept_readiness(), asio::detached);
+    this->loop.every(sweep_interval, [this](core::instant now) { this->sweep(now); });
+    this->loop.every(milliseconds{100},
+                     [this](core::instant now) { dispatch::advance(this->book.shares, now); });
+    this->loop.every(milliseconds{1000}, [this](core::instant now) { dispatch::tidy(this->book, now); });
+}
+
+void entry::leave(std::function<void()> when_done)
+{
+    if (this->leaving) {
+        return;
+    }
+    this->leaving = true;
+    this->left_at = event_loop::now();
+    this->done = std::move(when_done);
+}
+
+void entry::sweep(core::instant now)
+{
+    this->links->sweep(now);
+    bool busy = false;
+    const bool closing = this->leaving && now - this->left_at >= still_accepting;
+    for (const auto& [raw, weak] : this->sessions) {
+        if (const auto session = weak.lock()) {
+            session->sweep(now);
+            busy = busy || !session->idle();
+        }
+    }
+    if (!closing) {
+        return;
+    }
+    for (const auto& [raw, weak] : this->sessions) {
+        if (const auto session = weak.lock()) {
+            session->close_if_idle();
+        }
+    }
+    const bool forced = now - this->left_at >= this->options.stop_limit - end_margin;
+    if (this->done && (!busy || forced)) {
+        const auto finish = std::exchange(this->done, nullptr);
+        telemetry::write(telemetry::log_event{"drained"}.with("forced", forced).with(
+            "sessions", this->sessions.size()));
+        finish();
+    }
+}
+
+asio::awaitable<void> entry::accept_callers()
+{
+    while (true) {
+        error_code error;
+        tcp::socket socket{this->loop.context()};
+        co_await this->listening->callers.async_accept(socket,
+                                                       asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            telemetry::write_error(telemetry::log_event{"accept_failed"}.with("reason", error.message()));
+            co_await this->loop.sleep(accept_pause);
+            continue;
+        }
+        ++this->counters.connections;
+        socket.set_option(tcp::no_delay{true}, error);
+        const auto session = std::make_shared<detail::caller_session>(*this, std::move(socket));
+        this->sessions.emplace(session.get(), session);
+        asio::co_spawn(
+            this->loop.context(), [session] { return session->run(); }, asio::detached);
+    }
+}
+
+asio::awaitable<void> entry::accept_readiness()
+{
+    while (true) {
+        error_code error;
+        tcp::socket socket{this->loop.context()};
+        co_await this->listening->readiness.async_accept(socket,
+                                                         asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            co_await this->loop.sleep(accept_pause);
+            continue;
+        }
+        asio::co_spawn(this->loop.context(), answer_readiness(*this, std::move(socket)), asio::detached);
+    }
+}
+
+} // namespace hibiscusfall::relay
--- /dev/null
+++ b/src/relay/event_loop.cpp
@@ -0,0 +1,48 @@
+#include "hibiscusfall/relay/event_loop.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hibiscusfall::relay
+{
+
+timing::subscription event_loop::every(core::duration interval, timing::timer_service::callback call)
+{
+    const auto id = this->timers.every(interval, now(), std::move(call));
+    this->arm();
+    return id;
+}
+
+timing::subscription event_loop::once(core::duration after, timing::timer_service::callback call)
+{
+    const auto id = this->timers.once(now() + after, std::move(call));
+    this->arm();
+    return id;
+}
+
+asio::awaitable<void> event_loop::sleep(core::duration length)
+{
+    asio::steady_timer timer{this->io, length};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void event_loop::arm()
+{
+    const auto due = this->timers.next_due();
+    if (!due || *due >= this->armed_for) {
+        return;
+    }
+    this->armed_for = *due;
+    this->alarm.expires_at(*due);
+    this->alarm.async_wait([this](boost::system::error_code error) {
+        if (error) {
+            return; // armed again for an earlier time
+        }
+        this->armed_for = core::instant::max();
+        this->timers.advance(now());
+        this->arm();
+    });
+}
+
+} // namespace hibiscusfall::relay
--- /dev/null
+++ b/src/relay/refusal.cpp
@@ -0,0 +1,48 @@
+#include "refusal.hpp"
+
+#include "caller_session.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+std::string to_seconds(core::duration value)
+{
+    std::array<char, 32> digits{};
+    std::snprintf(digits.data(), digits.size(), "%.3f", static_cast<double>(value.count()) / 1e6);
+    return digits.data();
+}
+
+} // namespace
+
+std::string_view reason_of(unsigned status) noexcept
+{
+    return to_view(http::obsolete_reason(static_cast<http::status>(status)));
+}
+
+asio::awaitable<void>
+send_refusal(entry& owner, caller_session& caller, std::string_view request_id, const refusal& answer)
+{
+    const std::string body =
+        nlohmann::json{{"error", {{"code", answer.code}, {"reason", answer.detail}}}}.dump();
+    std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
+    head += reason_of(answer.status);
+    head += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (!request_id.empty()) {
+        head += std::string{owner.speak.request_id_header} + ": " + std::string{request_id} + "\r\n";
+    }
+    if (answer.retry_after > core::duration::zero()) {
+        head += "Retry-After: " + to_seconds(answer.retry_after) + "\r\n";
+    }
+    head += caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    co_await caller.write(head, body);
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/request_run.cpp
@@ -0,0 +1,379 @@
+#include "request_run.hpp"
+
+#include "attempt.hpp"
+#include "refusal.hpp"
+
+#include "hibiscusfall/telemetry/log_event.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+using core::failure;
+using core::run_state;
+using core::verdict;
+using std::chrono::milliseconds;
+
+/// How long a caller waits that does not say so; the longest deadline of the users' sheets.
+constexpr core::duration default_time_left = std::chrono::seconds{15};
+/// Callers are told to come back after at most this part of the time that they have left.
+constexpr int return_part = 3;
+/// When an instance that knows no configuration expects one: some reads of the store.
+constexpr core::duration configuration_wait = milliseconds{400};
+/// Time at the end of the route's timeout in which the final answer is on its way.
+constexpr core::duration answer_margin = milliseconds{10};
+/// An attempt that may be repeated is given up at this multiple of its expected first token, plus a slack.
+constexpr int patience = 2;
+constexpr core::duration patience_slack = milliseconds{250};
+/// Part of the time left that one of several attempts at a plain service may use.
+constexpr int plain_attempt_percent = 55;
+/// Least time left in which another attempt is worth sending.
+constexpr core::duration least_attempt = milliseconds{30};
+
+struct run_log {
+    std::string_view outcome = "none";
+    unsigned status = 0;
+    std::uint32_t attempts = 0;
+    core::duration expected{};
+    std::uint32_t read_again = 0;
+    std::uint32_t considered = 0;
+    bool within_share = true;
+    std::string endpoint;
+    std::string detail;
+};
+
+std::uint64_t digest(std::string_view text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
+void write_log(const request_state& state, const run_log& log)
+{
+    telemetry::log_event line{"request"};
+    const auto& owner = state.owner;
+    line.with("id", state.facts.id)
+        .with("outcome", log.outcome)
+        .with("status", log.status)
+        .with("route", state.route == nullptr ? std::string_view{"-"} : std::string_view{state.route->name})
+        .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
+        .with("endpoint", log.endpoint.empty() ? std::string_view{"-"} : std::string_view{log.endpoint})
+        .with("attempts", log.attempts)
+        .with("weighed", log.considered)
+        .with("expected_ms", log.expected.count() / 1000)
+        .with("took_ms", core::elapsed(state.arrived, event_loop::now()).count() / 1000)
+        .with("left_ms", core::elapsed(event_loop::now(), state.deadline).count() / 1000)
+        .with("in_share", log.within_share)
+        .with("read_again", log.read_again)
+        .with("version", state.table ? state.table->version : 0)
+        .with("leaving", owner.leaving);
+    if (!log.detail.empty()) {
+        line.with("reason", log.detail);
+    }
+    telemetry::write(line);
+}
+
+/// @brief One request from its arrival to the final answer.
+class request_run
+{
+public:
+    request_run(entry& parent, caller_session& from, caller_request& read)
+        : owner(parent), caller(from), state{.owner = parent, .caller = from, .request = read}
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        ++this->owner.counters.requests;
+        this->state.arrived = event_loop::now();
+        this->state.facts = this->owner.speak.read_request(this->state.request.base());
+        this->state.table = this->owner.table;
+        this->state.deadline = this->state.arrived + this->state.facts.time_left.value_or(default_time_left);
+        if (const auto problem = this->resolve()) {
+            co_await this->refuse(*problem);
+        } else {
+            this->prepare();
+            co_await this->serve();
+        }
+        write_log(this->state, this->log);
+    }
+
+private:
+    /// Finds route and team; the result is the refusal when the request cannot be taken.
+    std::optional<refusal> resolve()
+    {
+        const auto& request = this->state.request;
+        if (!this->state.table) {
+            return refusal{.status = 503,
+                           .code = "not-configured",
+                           .detail = "this instance knows no configuration yet",
+                           .retry_after = configuration_wait};
+        }
+        const auto target = to_view(request.target());
+        if (this->state.facts.id.empty() || !target.starts_with('/')) {
+            return refusal{.status = 400, .code = "malformed", .detail = "no request id, or no path"};
+        }
+        this->state.route =
+            catalog::find_route(*this->state.table, to_view(request[http::field::host]), target);
+        if (this->state.route == nullptr) {
+            return this->unknown(404, "unknown-path", "no route has this host and path");
+        }
+        if (!this->state.route->anonymous && !this->state.table->keys.empty()) {
+            this->state.team = catalog::find_team(*this->state.table, this->state.facts.key);
+            if (this->state.team == nullptr) {
+                return this->unknown(401, "unauthorized", "no team holds this key");
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// What the configuration does not name is only said to be unknown while it is sure to be current.
+    refusal unknown(unsigned status, std::string_view code, std::string detail) const
+    {
+        if (this->owner.outdated) {
+            return {.status = 503,
+                    .code = "not-configured",
+                    .detail = detail + ", but the configuration may be outdated",
+                    .retry_after = configuration_wait};
+        }
+        return {.status = status, .code = code, .detail = std::move(detail)};
+    }
+
+    void prepare()
+    {
+        const auto& route = *this->state.route;
+        this->draw = digest(this->state.facts.id);
+        this->state.service = catalog::choose_service(route, this->draw);
+        this->state.timeout_at =
+            route.timeout > core::duration::zero()
+                ? std::min(this->state.deadline, this->state.arrived + route.timeout - answer_margin)
+                : this->state.deadline;
+        this->team = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
+        if (this->state.facts.generation) {
+            const double cost = dispatch::share_cost(*this->state.facts.generation);
+            dispatch::note_asked(this->owner.book.shares, this->team, cost);
+            this->owner.work.teams[this->team].first += cost;
+        }
+        dispatch::note_request(
+            this->owner.budgets[this->state.service], this->owner.options.repeats, this->state.arrived);
+    }
+
+    dispatch::placement_decision choose(core::instant now)
+    {
+        const auto& generation = this->state.facts.generation;
+        const dispatch::candidate request{.service = this->state.service,
+                                          .generation = generation ? &*generation : nullptr,
+                                          .team = this->team,
+                                          .arrived = this->state.arrived,
+                                          .deadline = std::min(this->state.deadline, this->state.timeout_at),
+                                          .aim = this->state.route->aim,
+                                          .repeatable = this->state.route->repeatable(),
+                                          .excluded = this->tried,
+                                          .draw = this->draw};
+        // A repeat was admitted before; it only needs an endpoint.
+        const auto policy =
+            this->log.attempts > 0 && this->owner.options.policy == dispatch::policy::engine_model
+                ? dispatch::policy::no_admission
+                : this->owner.options.policy;
+        auto decision = dispatch::place(this->owner.book, request, policy, now);
+        this->log.expected = decision.expected;
+        this->log.read_again = decision.read_again;
+        this->log.considered = decision.considered;
+        this->log.within_share = decision.within_share;
+        return decision;
+    }
+
+    dispatch::running_request begin(const dispatch::placement_decision& decision, core::instant now)
+    {
+        static const dispatch::prompt no_prompt;
+        const auto& generation = this->state.facts.generation;
+        ++this->log.attempts;
+        if (const auto* endpoint = dispatch::find(this->owner.book, decision.endpoint)) {
+            this->log.endpoint = endpoint->entry.id.str();
+        }
+        if (generation) {
+            if (this->log.attempts == 1) {
+                const double cost = dispatch::share_cost(*generation);
+                dispatch::note_given(this->owner.book.shares, this->team, cost);
+                this->owner.work.teams[this->team].second += cost;
+            }
+            for (const auto& part : generation->parts) {
+                this->owner.work.parts.emplace_back(part.id, decision.endpoint);
+            }
+        }
+        this->tried.push_back(decision.endpoint);
+        return dispatch::note_sent(
+            this->owner.book, decision.endpoint, generation ? *generation : no_prompt, now);
+    }
+
+    /// Until when the next attempt may wait for its answer to begin.
+    core::instant attempt_limit(const dispatch::placement_decision& decision, core::instant now) const
+    {
+        const auto last = this->state.timeout_at;
+        const bool another = this->state.route->repeatable() && this->state.runs + 1 < this->state.route->max_attempts;
+        if (!another) {
+            return last;
+        }
+        if (this->state.facts.generation) {
+            return std::min(last,
+                            now + std::max(decision.expected * patience + patience_slack, this->state.route->aim));
+        }
+        return std::min(last, now + core::elapsed(now, last) * plain_attempt_percent / 100);
+    }
+
+    /// Whether the request may be sent once more after an attempt that failed.
+    bool may_repeat(const attempt_end& end, core::instant now)
+    {
+        const auto& route = *this->state.route;
+        if (end.delivered || end.caller_gone || !end.outcome.may_retry_elsewhere(route.repeatable())) {
+            return false;
+        }
+        if (now + least_attempt >= this->state.timeout_at || this->log.attempts > route.max_attempts + 1) {
+            return false;
+        }
+        if (end.outcome.state != run_state::not_run && this->state.runs >= route.max_attempts) {
+            return false;
+        }
+        if (this->state.head_sent && !traffic::expect_continuation(this->state.events)) {
+            return false;
+        }
+        if (!dispatch::take_repeat(this->owner.budgets[this->state.service],
+                                   this->owner.options.repeats,
+                                   this->owner.instances,
+                                   now)) {
+            ++this->owner.counters.repeats_denied;
+            return false;
+        }
+        ++this->owner.counters.repeats;
+        return true;
+    }
+
+    asio::awaitable<void> serve()
+    {
+        attempt_end last;
+        last.outcome = verdict::not_run(failure::none, {});
+        while (true) {
+            auto now = event_loop::now();
+            const auto decision = this->choose(now);
+            if (!decision.placed) {
+                co_await this->conclude(last, decision);
+                co_return;
+            }
+            auto running = this->begin(decision, now);
+            auto end = co_await run_attempt(this->state, running, this->attempt_limit(decision, now));
+            now = event_loop::now();
+            dispatch::note_ended(this->owner.book, running, end.sign, now);
+            if (end.outcome.state != run_state::not_run) {
+                ++this->state.runs;
+            }
+            if (last.outcome.state == run_state::may_have_run && end.outcome.state == run_state::not_run) {
+                end.outcome = last.outcome; // an earlier attempt may still have run
+            }
+            last = std::move(end);
+            if (!this->may_repeat(last, now)) {
+                co_await this->conclude(last, decision);
+                co_return;
+            }
+        }
+    }
+
+    /// Gives the caller its final answer.
+    asio::awaitable<void> conclude(attempt_end& last, const dispatch::placement_decision& decision)
+    {
+        this->log.detail = last.outcome.detail;
+        if (last.delivered) {
+            ++this->owner.counters.answered;
+            this->log.outcome = "answered";
+            this->log.status = 200;
+            co_return;
+        }
+        if (last.caller_gone || this->caller.gone()) {
+            ++this->owner.counters.callers_gone;
+            this->log.outcome = "caller_gone";
+            co_return;
+        }
+        if (this->state.head_sent) {
+            // The answer has begun: only the missing end tells the caller that it is not whole.
+            ++this->owner.counters.broken_streams;
+            this->log.outcome = "broken";
+            this->caller.close_after_answer();
+            co_return;
+        }
+        if (last.answer) {
+            this->log.outcome = "endpoint_failure";
+            this->log.status = last.answer->status;
+            ++this->owner.counters.answered;
+            co_await deliver(this->state, *last.answer);
+            co_return;
+        }
+        if (last.outcome.state == run_state::not_run) {
+            co_await this->refuse_not_run(last, decision);
+            co_return;
+        }
+        ++this->owner.counters.failed;
+        const bool late = last.timed_out || event_loop::now() >= this->state.timeout_at;
+        co_await this->refuse({.status = late ? 504U : 502U,
+                               .code = to_string(last.outcome.reason),
+                               .detail = last.outcome.detail});
+    }
+
+    asio::awaitable<void> refuse_not_run(const attempt_end& last, const dispatch::placement_decision& decision)
+    {
+        const bool placed = decision.placed;
+        const auto reason = placed ? last.outcome.reason : decision.reason;
+        if (!decision.within_share) {
+            ++this->owner.counters.refused_share;
+        }
+        const auto longest = core::elapsed(event_loop::now(), this->state.deadline) / return_part;
+        auto after = decision.retry_after > core::duration::zero() ? decision.retry_after : configuration_wait;
+        after = std::min(after, std::max(longest, core::duration{milliseconds{1}}));
+        std::string detail = !placed && last.outcome.detail.empty()
+                                 ? (decision.within_share ? "the endpoints have more work than they can begin in time"
+                                                          : "the team is beyond its share and the endpoints are busy")
+                                 : last.outcome.detail;
+        if (reason == failure::no_endpoint) {
+            detail = "no endpoint of the service is in use";
+        }
+        co_await this->refuse({.status = 503, .code = to_string(reason), .detail = std::move(detail), .retry_after = after});
+    }
+
+    asio::awaitable<void> refuse(refusal answer)
+    {
+        if (answer.status == 503) {
+            ++this->owner.counters.refused;
+            this->log.outcome = "refused";
+        } else if (answer.status >= 500) {
+            this->log.outcome = "failed";
+        } else {
+            ++this->owner.counters.rejected;
+            this->log.outcome = "rejected";
+        }
+        this->log.status = answer.status;
+        this->log.detail = answer.detail;
+        co_await send_refusal(this->owner, this->caller, this->state.facts.id, answer);
+    }
+
+    entry& owner;
+    caller_session& caller;
+    request_state state;
+    run_log log;
+    dispatch::team_tag team = 0;
+    std::uint64_t draw = 0;
+    std::vector<dispatch::endpoint_tag> tried;
+};
+
+} // namespace
+
+asio::awaitable<void> run_request(entry& owner, caller_session& caller, caller_request& request)
+{
+    request_run run{owner, caller, request};
+    co_await run.run();
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/settings/entry_settings.cpp
@@ -0,0 +1,98 @@
+#include "hibiscusfall/settings/entry_settings.hpp"
+
+#include "ini_table.hpp"
+
+namespace hibiscusfall::settings
+{
+
+namespace
+{
+
+using namespace detail;
+using entry_setting = setting<entry_settings>;
+
+std::string set_policy(entry_settings& target, std::string_view value)
+{
+    if (value != "engine_model" && value != "least_in_flight" && value != "no_admission") {
+        return quoted(value) + " is none of engine_model, least_in_flight, no_admission";
+    }
+    target.policy = std::string{value};
+    return {};
+}
+
+std::vector<entry_setting> make_table()
+{
+    using s = entry_settings;
+    return {
+        {{"instance", "id", "name", "", "Name of this instance, unique in the fleet."},
+         true,
+         set_name(&s::id)},
+        {{"instance", "failure_domain", "name", "", "Failure domain that it runs in."},
+         true,
+         set_name(&s::domain)},
+        {{"listen", "callers", "ip:port", "", "Where callers connect."}, true, set_address(&s::callers)},
+        {{"listen", "readiness", "ip:port", "", "Where the balancer asks whether it takes callers."},
+         true,
+         set_address(&s::readiness)},
+        {{"listen", "inner", "ip:port", "", "UDP and TCP address for other instances."},
+         true,
+         set_address(&s::inner)},
+        {{"listen", "metrics", "ip:port", "", "Where the metrics page is served; off when not set."},
+         false,
+         set_address(&s::metrics)},
+        {{"peers", "seeds", "ip:port list", "", "Addresses of instances told first; their port is not used."},
+         false,
+         set_addresses(&s::seeds)},
+        {{"store", "address", "ip:port", "", "The platform's store."}, true, set_address(&s::store)},
+        {{"configuration", "bound_ms", "ms", "2000", "Time within which a new version is in force."},
+         false,
+         set_milliseconds(&s::configuration_bound, 100, 60000)},
+        {{"repeats", "ratio", "fraction", "0.1", "Sends beyond the first, for each request of a service."},
+         false,
+         set_fraction(&s::repeat_ratio, 0, 10)},
+        {{"repeats", "slack", "count", "10", "Further repeats in a window, over the whole fleet."},
+         false,
+         set_fraction(&s::repeat_slack, 0, 100000)},
+        {{"repeats", "window_s", "s", "10", "Window of the budget of repeats."},
+         false,
+         set_fraction_of_seconds(&s::repeat_window, 0.1, 3600)},
+        {{"shares", "window_s", "s", "4", "Window over which teams' shares are taken."},
+         false,
+         set_fraction_of_seconds(&s::share_window, 0.1, 3600)},
+        {{"placement",
+          "policy",
+          "engine_model|least_in_flight|no_admission",
+          "engine_model",
+          "How requests are placed and refused; all but the first are for comparison."},
+         false,
+         set_policy},
+        {{"shutdown", "limit_s", "s", "8", "Longest time that a graceful shutdown may take."},
+         false,
+         set_fraction_of_seconds(&s::stop_limit, 0.1, 3600)},
+        {{"log", "level", "error|event|decision", "event", "How much is logged."},
+         false,
+         set_log_level(&s::log_level)},
+    };
+}
+
+const std::vector<entry_setting>& table()
+{
+    static const std::vector<entry_setting> entries = make_table();
+    return entries;
+}
+
+} // namespace
+
+entry_settings_reading read_entry_settings(std::string_view ini_text)
+{
+    entry_settings_reading reading;
+    reading.settings = ini_reader{table()}.read(ini_text, reading.errors);
+    return reading;
+}
+
+std::vector<setting_description> describe_entry_settings()
+{
+    return describe(table());
+}
+
+} // namespace hibiscusfall::settings
