--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -145,9 +145,10 @@
     state.head_sent = true;
     std::string text = answer_fields(head) + "Transfer-Encoding: chunked\r\n";
     text += state.caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
-    co_await state.caller.write("HTTP/1.1 " + std::to_string(head.result_int()) + " " +
-                                    std::string{reason_of(head.result_int())} + "\r\n",
-                                text);
+    std::string status = "HTTP/1.1 " + std::to_string(head.result_int()) + " ";
+    status += reason_of(head.result_int());
+    status += "\r\n";
+    co_await state.caller.write(status, text);
 }
 
 /// Passes whole events on until the stream ends.
@@ -193,9 +194,12 @@
         if (!state.head_sent) {
             co_await send_stream_head(state, parser.get());
         }
-        const auto ready = std::move(state.events.ready);
+        auto ready = std::move(state.events.ready);
         state.events.ready.clear();
-        if (!co_await state.caller.write(chunk_head(ready.size()), ready + "\r\n")) {
+        const auto size = chunk_head(ready.size());
+        ready += "\r\n";
+        const bool passed_on = co_await state.caller.write(size, ready);
+        if (!passed_on) {
             link->close();
             co_return no_answer(state, *link, answer_end::closed);
         }
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -318,9 +318,10 @@
         }
         ++this->owner.counters.failed;
         const bool late = last.timed_out || event_loop::now() >= this->state.timeout_at;
-        co_await this->refuse({.status = late ? 504U : 502U,
-                               .code = to_string(last.outcome.reason),
-                               .detail = last.outcome.detail});
+        const refusal answer{.status = late ? 504U : 502U,
+                             .code = to_string(last.outcome.reason),
+                             .detail = last.outcome.detail};
+        co_await this->refuse(answer);
     }
 
     asio::awaitable<void> refuse_not_run(const attempt_end& last, const dispatch::placement_decision& decision)
@@ -340,10 +341,12 @@
         if (reason == failure::no_endpoint) {
             detail = "no endpoint of the service is in use";
         }
-        co_await this->refuse({.status = 503, .code = to_string(reason), .detail = std::move(detail), .retry_after = after});
+        const refusal answer{
+            .status = 503, .code = to_string(reason), .detail = std::move(detail), .retry_after = after};
+        co_await this->refuse(answer);
     }
 
-    asio::awaitable<void> refuse(refusal answer)
+    asio::awaitable<void> refuse(const refusal& answer)
     {
         if (answer.status == 503) {
             ++this->owner.counters.refused;
