Hold teams to their shares strictly, reload settings, take no streams shortly before the end

(2) The share check counted the request's own size, so that large requests were refused first. (3) SIGHUP ended the process. Conclusion: the quota is close to what the engines really do; serving beyond it makes all of it late.

--- a/include/hibiscusfall/dispatch/team_shares.hpp
+++ b/include/hibiscusfall/dispatch/team_shares.hpp
@@ -34,6 +34,7 @@
     std::size_t step = 0;
     core::instant step_begun{};
     double level = 0; ///< Tokens that each team may have in the window; zero when all may have all.
+    double given = 0; ///< Tokens that all teams were given in the window.
 };
 
 /// @brief Moves the window on, and works out the level anew.
@@ -45,8 +46,13 @@
 /// @brief Notes what was placed for a team.
 void note_given(team_shares& shares, team_tag team, double tokens);
 
-/// @brief Whether a team may have @p tokens more within its share.
-[[nodiscard]] bool within_share(const team_shares& shares, team_tag team, double tokens);
+/// @brief Whether a team may have another request within its share. Its size does not count, so that a large
+/// request is not refused where a small one is taken.
+[[nodiscard]] bool within_share(const team_shares& shares, team_tag team);
+
+/// @brief Whether a team beyond its share may have another request all the same: what the teams were given
+/// leaves supply unused, and the team is not far ahead of the others.
+[[nodiscard]] bool spare_for(const team_shares& shares, team_tag team);
 
 /// @brief The level at which the demands add up to @p supply when each is cut to it; zero when they fit.
 /// @param demands Consumed: sorted in place.
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -3,6 +3,7 @@
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/catalog/route_table.hpp"
 #include "hibiscusfall/dispatch/fleet_book.hpp"
+#include "hibiscusfall/dispatch/output_lengths.hpp"
 #include "hibiscusfall/relay/dialect.hpp"
 #include "hibiscusfall/relay/entry_options.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
@@ -63,6 +64,12 @@
     /// @throws boost::system::system_error When an address cannot be bound.
     void listen();
 
+    /// @brief Takes over changed settings: policy, budgets, shares and limits. Addresses stay.
+    void reload(const entry_options& changed);
+
+    /// @brief Whether a stream that begins now may be cut by this instance's end.
+    [[nodiscard]] bool too_late_for_streams(core::instant now) const noexcept;
+
     /// @brief Stops taking callers; calls back once all have their answers, or shortly before the limit.
     void leave(std::function<void()> when_done);
 
@@ -71,10 +78,11 @@
     /// @name State shared by the parts of the relay
     event_loop& loop;
     const dialect speak;
-    const entry_options options;
+    entry_options options;
     std::shared_ptr<const catalog::route_table> table;
     dispatch::fleet_book book;
     std::map<core::service_id, dispatch::repeat_budget> budgets;
+    dispatch::output_lengths lengths;
     std::unique_ptr<detail::link_pool> links;
     own_work work;
     entry_counters counters;
--- /dev/null
+++ b/src/dispatch/output_lengths.cpp
@@ -0,0 +1,35 @@
+#include "hibiscusfall/dispatch/output_lengths.hpp"
+
+#include <algorithm>
+
+namespace hibiscusfall::dispatch
+{
+
+namespace
+{
+
+constexpr double assumed_part = 0.5;   // before the first answers of a route
+constexpr double learning_rate = 0.05; // weight of one answer once there are enough
+
+} // namespace
+
+std::uint32_t expected_output(const output_lengths& lengths, std::string_view route, std::uint32_t most)
+{
+    const auto found = lengths.by_route.find(std::string{route});
+    const double part = found == lengths.by_route.end() ? assumed_part : found->second.part;
+    return static_cast<std::uint32_t>(part * most);
+}
+
+void note_output(output_lengths& lengths, std::string_view route, std::uint32_t most, std::uint64_t seen)
+{
+    if (most == 0) {
+        return;
+    }
+    const double part = std::min(1.0, static_cast<double>(seen) / most);
+    auto& learned = lengths.by_route[std::string{route}];
+    ++learned.samples;
+    const double weight = std::max(learning_rate, 1.0 / learned.samples);
+    learned.part += weight * (part - learned.part);
+}
+
+} // namespace hibiscusfall::dispatch
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -168,9 +168,9 @@
                       const scored& best,
                       core::instant now)
 {
-    decision.within_share = within_share(book.shares, request.team, share_cost(*request.generation));
+    decision.within_share = within_share(book.shares, request.team);
     if (!decision.within_share) {
-        if (best.wait > spare_wait) {
+        if (best.wait > spare_wait || !spare_for(book.shares, request.team)) {
             // The share is that of a window: it is free again when the window has moved on.
             refuse(decision, core::failure::queue_full, spread(book.shares.window / 4, book.shares.window, request.draw));
         }
--- a/src/dispatch/team_shares.cpp
+++ b/src/dispatch/team_shares.cpp
@@ -9,14 +9,24 @@
 namespace
 {
 
+/// A team that waits has at least half of what the best served one gets: with its share it has two thirds.
+constexpr double most_beyond_share = 1.5;
+
+double seconds(core::duration length)
+{
+    return std::chrono::duration<double>(length).count();
+}
+
 void open_step(team_shares& shares)
 {
+    shares.given = 0;
     shares.step = (shares.step + 1) % team_window::steps;
     for (auto& [tag, window] : shares.teams) {
         window.asked[shares.step] = 0;
         window.given[shares.step] = 0;
         window.asked_sum = std::accumulate(window.asked.begin(), window.asked.end(), 0.0);
         window.given_sum = std::accumulate(window.given.begin(), window.given.end(), 0.0);
+        shares.given += window.given_sum;
     }
     std::erase_if(shares.teams, [](const auto& each) {
         return each.second.asked_sum <= 0 && each.second.given_sum <= 0;
@@ -58,8 +68,7 @@
     for (const auto& [tag, window] : shares.teams) {
         demands.push_back(window.asked_sum);
     }
-    const double seconds = std::chrono::duration<double>(shares.window).count();
-    shares.level = max_min_level(demands, shares.tokens_per_second * seconds);
+    shares.level = max_min_level(demands, shares.tokens_per_second * seconds(shares.window));
 }
 
 void note_asked(team_shares& shares, team_tag team, double tokens)
@@ -74,15 +83,24 @@
     auto& window = shares.teams[team];
     window.given[shares.step] += tokens;
     window.given_sum += tokens;
+    shares.given += tokens;
 }
 
-bool within_share(const team_shares& shares, team_tag team, double tokens)
+bool within_share(const team_shares& shares, team_tag team)
 {
     if (shares.level <= 0) {
         return true;
     }
     const auto found = shares.teams.find(team);
-    return found == shares.teams.end() || found->second.given_sum + tokens <= shares.level;
+    return found == shares.teams.end() || found->second.given_sum < shares.level;
+}
+
+bool spare_for(const team_shares& shares, team_tag team)
+{
+    const auto found = shares.teams.find(team);
+    const double had = found == shares.teams.end() ? 0.0 : found->second.given_sum;
+    return shares.given < shares.tokens_per_second * seconds(shares.window) &&
+           had < shares.level * most_beyond_share;
 }
 
 } // namespace hibiscusfall::dispatch
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -144,6 +144,20 @@
     this->done = std::move(when_done);
 }
 
+void entry::reload(const entry_options& changed)
+{
+    this->options.policy = changed.policy;
+    this->options.repeats = changed.repeats;
+    this->options.share_window = changed.share_window;
+    this->options.stop_limit = changed.stop_limit;
+    this->book.shares.window = changed.share_window;
+}
+
+bool entry::too_late_for_streams(core::instant now) const noexcept
+{
+    return this->leaving && now - this->left_at >= still_accepting;
+}
+
 void entry::sweep(core::instant now)
 {
     this->links->sweep(now);
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -27,6 +27,8 @@
 constexpr int return_part = 3;
 /// When an instance that knows no configuration expects one: some reads of the store.
 constexpr core::duration configuration_wait = milliseconds{400};
+/// After a refusal by an instance that ends, another one can serve at once.
+constexpr core::duration moved_wait = milliseconds{20};
 /// Time at the end of the route's timeout in which the final answer is on its way.
 constexpr core::duration answer_margin = milliseconds{10};
 /// An attempt that may be repeated is given up at this multiple of its expected first token, plus a slack.
@@ -130,6 +132,13 @@
                 return this->unknown(401, "unauthorized", "no team holds this key");
             }
         }
+        if (this->state.route->kind == catalog::route_kind::stream &&
+            this->owner.too_late_for_streams(this->state.arrived)) {
+            return refusal{.status = 503,
+                           .code = "shutting-down",
+                           .detail = "this instance ends before the stream would",
+                           .retry_after = moved_wait};
+        }
         return std::nullopt;
     }
 
@@ -155,7 +164,11 @@
                 ? std::min(this->state.deadline, this->state.arrived + route.timeout - answer_margin)
                 : this->state.deadline;
         this->team = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
-        if (this->state.facts.generation) {
+        if (auto& generation = this->state.facts.generation) {
+            generation->tokens_out = generation->hinted_out > 0
+                                         ? generation->hinted_out
+                                         : dispatch::expected_output(
+                                               this->owner.lengths, route.name, generation->most_out);
             const double cost = dispatch::share_cost(*this->state.facts.generation);
             dispatch::note_asked(this->owner.book.shares, this->team, cost);
             this->owner.work.teams[this->team].first += cost;
@@ -269,6 +282,7 @@
             auto end = co_await run_attempt(this->state, running, this->attempt_limit(decision, now));
             now = event_loop::now();
             dispatch::note_ended(this->owner.book, running, end.sign, now);
+            this->learn_length(end);
             if (end.outcome.state != run_state::not_run) {
                 ++this->state.runs;
             }
@@ -283,6 +297,22 @@
         }
     }
 
+    void learn_length(const attempt_end& end)
+    {
+        const auto& generation = this->state.facts.generation;
+        if (!generation || !end.delivered || !this->state.facts.last_event_id.empty()) {
+            return;
+        }
+        const auto service = this->state.table->services.find(this->state.service);
+        const auto per_event = service != this->state.table->services.end() && service->second.engine
+                                   ? service->second.engine->tokens_per_event
+                                   : 1U;
+        dispatch::note_output(this->owner.lengths,
+                              this->state.route->name,
+                              generation->most_out,
+                              this->state.events.tokens * per_event);
+    }
+
     /// Gives the caller its final answer.
     asio::awaitable<void> conclude(attempt_end& last, const dispatch::placement_decision& decision)
     {
