Test catalog, dispatch, peers and relay; bound what a datagram may claim

They found two faults: a datagram of a few bytes could ask for gigabytes (bad_alloc), as msgpack believes any stated length; and a connection that outlived its entry touched it. Ruled out for the second: the relay while it runs, it was the order of destruction at the end of a process. Conclusion: lengths are bounded by the bytes that came; the list of connections is shared with them.

--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -69,6 +69,11 @@
 
 inline constexpr std::uint32_t report_format = 1;
 
+/// @brief Unpacks bytes from another process. An entry takes a byte at least, so no length beyond that of the
+/// bytes is believed.
+/// @throws msgpack::unpack_error
+[[nodiscard]] msgpack::object_handle unpack_bounded(std::span<const char> bytes);
+
 /// @brief Writes a report as one datagram.
 [[nodiscard]] std::string encode(const load_report& report);
 
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -25,6 +25,9 @@
 class caller_session;
 } // namespace detail
 
+/// @brief The open connections of callers. Shared, as a connection may outlive its entry until the loop ends.
+using session_registry = std::map<detail::caller_session*, std::weak_ptr<detail::caller_session>>;
+
 /// @brief What one instance placed itself, for the reports to its peers.
 struct own_work {
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> teams; ///< Asked and given, totals.
@@ -87,7 +90,7 @@
     own_work work;
     entry_counters counters;
     telemetry::latency_recorder first_bytes;
-    std::map<detail::caller_session*, std::weak_ptr<detail::caller_session>> sessions;
+    std::shared_ptr<session_registry> sessions = std::make_shared<session_registry>();
     std::uint32_t instances = 1;
     bool endpoints_known = false;
     bool outdated = false;
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::size_t deepest = 8; // nested arrays of a report: three
+
 void take_endpoint(dispatch::fleet_book& book,
                    dispatch::peer_state& peer,
                    const endpoint_totals& told,
@@ -56,6 +58,13 @@
 
 } // namespace
 
+msgpack::object_handle unpack_bounded(std::span<const char> bytes)
+{
+    const auto most = bytes.size();
+    const msgpack::unpack_limit limit{most, most, most, most, most, deepest};
+    return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+}
+
 std::string encode(const load_report& report)
 {
     msgpack::sbuffer buffer;
@@ -66,7 +75,7 @@
 std::optional<load_report> decode(std::span<const char> datagram)
 {
     try {
-        const auto handle = msgpack::unpack(datagram.data(), datagram.size());
+        const auto handle = unpack_bounded(datagram);
         auto report = handle.get().as<load_report>();
         if (report.format != report_format || report.instance.empty()) {
             return std::nullopt;
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -320,7 +320,7 @@
         co_return;
     }
     try {
-        const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto handle = unpack_bounded(bytes);
         const auto copy = handle.get().as<catalog_copy>();
         ++this->counted.copies_taken;
         telemetry::write(line.with("outcome", "taken")
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -44,13 +44,13 @@
 } // namespace
 
 caller_session::caller_session(entry& parent, tcp::socket accepted)
-    : owner(parent), socket(std::move(accepted))
+    : owner(parent), registry(parent.sessions), socket(std::move(accepted))
 {
 }
 
 caller_session::~caller_session()
 {
-    this->owner.sessions.erase(this);
+    this->registry->erase(this);
 }
 
 asio::awaitable<void> caller_session::run()
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -67,6 +67,7 @@
     void note_gone();
 
     entry& owner;
+    std::shared_ptr<session_registry> registry;
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::shared_ptr<endpoint_link> current;
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -163,7 +163,7 @@
     this->links->sweep(now);
     bool busy = false;
     const bool closing = this->leaving && now - this->left_at >= still_accepting;
-    for (const auto& [raw, weak] : this->sessions) {
+    for (const auto& [raw, weak] : *this->sessions) {
         if (const auto session = weak.lock()) {
             session->sweep(now);
             busy = busy || !session->idle();
@@ -172,7 +172,7 @@
     if (!closing) {
         return;
     }
-    for (const auto& [raw, weak] : this->sessions) {
+    for (const auto& [raw, weak] : *this->sessions) {
         if (const auto session = weak.lock()) {
             session->close_if_idle();
         }
@@ -181,7 +181,7 @@
     if (this->done && (!busy || forced)) {
         const auto finish = std::exchange(this->done, nullptr);
         telemetry::write(telemetry::log_event{"drained"}.with("forced", forced).with(
-            "sessions", this->sessions.size()));
+            "sessions", this->sessions->size()));
         finish();
     }
 }
@@ -204,7 +204,7 @@
         ++this->counters.connections;
         socket.set_option(tcp::no_delay{true}, error);
         const auto session = std::make_shared<detail::caller_session>(*this, std::move(socket));
-        this->sessions.emplace(session.get(), session);
+        this->sessions->emplace(session.get(), session);
         asio::co_spawn(
             this->loop.context(), [session] { return session->run(); }, asio::detached);
     }
--- /dev/null
+++ b/tests/catalog/endpoint_list_test.cpp
@@ -0,0 +1,95 @@
+#include "hibiscusfall/catalog/endpoint_list.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+using catalog::endpoint;
+using catalog::entry_change;
+
+namespace
+{
+
+constexpr core::instant start{1h};
+
+entry_change present(const std::string& key, bool draining = false)
+{
+    return {.key = key,
+            .now = endpoint{.id = core::endpoint_id{key},
+                            .service = core::service_id{"draft"},
+                            .address = {.host = "10.0.0.1", .port = 80},
+                            .domain = core::failure_domain_id{"north"},
+                            .draining = draining}};
+}
+
+entry_change gone(const std::string& key)
+{
+    return {.key = key, .now = {}, .removed = true};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_list_test)
+
+BOOST_AUTO_TEST_CASE(an_entry_that_is_written_anew_without_a_change_changes_nothing)
+{
+    catalog::endpoint_list list;
+    BOOST_TEST(catalog::apply(list, {present("a")}, 1, true, start));
+    BOOST_TEST(!catalog::apply(list, {present("a")}, 2, true, start));
+    BOOST_TEST(list.revision == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_reading_changes_nothing)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a", true)}, 5, true, start);
+    BOOST_TEST(!catalog::apply(list, {present("a", false)}, 4, true, start));
+    BOOST_TEST(list.entries.at("a").draining);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_while_the_store_is_calm_is_gone_at_once)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a")}, 1, true, start);
+    BOOST_TEST(catalog::apply(list, {gone("a")}, 2, true, start));
+    BOOST_TEST(list.entries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_vanishes_during_trouble_is_kept_until_it_must_be_back)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a"), present("b")}, 1, true, start);
+    catalog::replace(list, {present("b")}, 9, false, start);
+    BOOST_TEST(list.entries.size() == 2U);
+    BOOST_TEST(!catalog::drop_lapsed(list, start + 2s));
+    BOOST_TEST(catalog::drop_lapsed(list, start + 2300ms));
+    BOOST_TEST(list.entries.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_comes_back_in_time_stays)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a")}, 1, true, start);
+    catalog::apply(list, {gone("a")}, 2, false, start);
+    catalog::apply(list, {present("a")}, 3, false, start + 1s);
+    BOOST_TEST(!catalog::drop_lapsed(list, start + 10s));
+    BOOST_TEST(list.entries.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_was_draining_is_not_expected_back)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a", true)}, 1, true, start);
+    BOOST_TEST(catalog::apply(list, {gone("a")}, 2, false, start));
+    BOOST_TEST(list.entries.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_becomes_unreadable_names_no_endpoint)
+{
+    catalog::endpoint_list list;
+    catalog::apply(list, {present("a")}, 1, true, start);
+    BOOST_TEST(catalog::apply(list, {{.key = "a", .now = {}, .removed = false}}, 2, false, start));
+    BOOST_TEST(list.entries.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/dispatch/load_play.cpp
@@ -0,0 +1,112 @@
+#include "load_play.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace hibiscusfall::testing
+{
+
+namespace
+{
+
+constexpr core::instant start{std::chrono::hours{1}};
+
+struct waiting_token {
+    core::instant at;
+    dispatch::running_request request;
+    core::instant asked;
+    core::duration aim;
+};
+
+dispatch::fleet_book make_book(const load_play& play)
+{
+    dispatch::fleet_book book;
+    book.own_domain = core::failure_domain_id{"north"};
+    book.shares = {.tokens_per_second = play.quota_per_second, .teams = {}, .step_begun = start};
+    catalog::route_table table;
+    const core::service_id service{"draft"};
+    table.services[service] = {.id = service,
+                               .engine = catalog::engine_properties{.batch = 64, .memory_tokens = 600000}};
+    catalog::endpoint_list list;
+    for (int i = 0; i < play.engines; ++i) {
+        const auto name = "engine-" + std::to_string(i);
+        list.entries[name] = {.id = core::endpoint_id{name},
+                              .service = service,
+                              .address = {.host = "10.0.0.1", .port = 80},
+                              .domain = book.own_domain};
+    }
+    dispatch::update_endpoints(book, list, table, 1);
+    return book;
+}
+
+} // namespace
+
+played_result load_play::play(const std::vector<played_request>& load) const
+{
+    auto book = make_book(*this);
+    std::map<dispatch::endpoint_tag, core::instant> busy_until;
+    std::map<std::uint64_t, std::set<dispatch::endpoint_tag>> readers;
+    std::vector<waiting_token> awaited;
+    played_result result;
+    std::uint64_t draw = 0;
+    const auto settle = [&](core::instant now) {
+        std::erase_if(awaited, [&](waiting_token& each) {
+            if (each.at > now) {
+                return false;
+            }
+            dispatch::note_started(book, each.request, each.at);
+            dispatch::note_ended(book, each.request, dispatch::endpoint_sign::good, each.at);
+            ++(each.at - each.asked <= each.aim ? result.on_time : result.late);
+            return true;
+        });
+    };
+    for (const auto& request : load) {
+        const auto now = start + request.at;
+        settle(now);
+        dispatch::advance(book.shares, now);
+        const auto team = dispatch::tag_of(request.team);
+        const double cost = dispatch::share_cost(request.generation);
+        dispatch::note_asked(book.shares, team, cost);
+        const auto decision = dispatch::place(book,
+                                              {.service = core::service_id{"draft"},
+                                               .generation = &request.generation,
+                                               .team = team,
+                                               .arrived = now,
+                                               .deadline = now + std::chrono::seconds{15},
+                                               .aim = request.aim,
+                                               .draw = ++draw * 0x9E3779B97F4A7C15ULL},
+                                              this->policy,
+                                              now);
+        if (!decision.placed) {
+            ++result.refused;
+            continue;
+        }
+        dispatch::note_given(book.shares, team, cost);
+        result.given_by_team[request.team.str()] += cost;
+        std::uint32_t unread = request.generation.tokens_in;
+        bool unbroken = true;
+        for (std::size_t i = 0; i < request.generation.parts.size(); ++i) {
+            const auto& part = request.generation.parts[i];
+            auto& known = readers[part.id];
+            unbroken = unbroken && known.contains(decision.endpoint);
+            if (unbroken) {
+                unread -= part.tokens;
+            } else if (!known.empty() && i + 1 < request.generation.parts.size()) {
+                result.read_again += part.tokens;
+            }
+            known.insert(decision.endpoint);
+        }
+        auto& until = busy_until[decision.endpoint];
+        until = std::max(until, now) +
+                std::chrono::microseconds{static_cast<std::int64_t>(1000.0 * unread / this->tokens_per_ms)};
+        awaited.push_back({.at = until + dispatch::start_overhead,
+                           .request = dispatch::note_sent(book, decision.endpoint, request.generation, now),
+                           .asked = now,
+                           .aim = request.aim});
+    }
+    settle(start + std::chrono::hours{1});
+    return result;
+}
+
+} // namespace hibiscusfall::testing
--- /dev/null
+++ b/tests/dispatch/load_play.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "hibiscusfall/dispatch/placement.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hibiscusfall::testing
+{
+
+/// @brief One request of a played load.
+struct played_request {
+    core::duration at{};
+    core::team_id team;
+    dispatch::prompt generation;
+    core::duration aim{};
+};
+
+/// @brief What callers got.
+struct played_result {
+    int on_time = 0;
+    int late = 0;
+    int refused = 0;
+    std::uint64_t read_again = 0; ///< Shared tokens read at a second engine.
+    std::map<std::string, double> given_by_team;
+};
+
+/// @brief Engines that read prompts in order at one speed, and one instance that places requests on them.
+struct load_play {
+    int engines = 4;
+    double tokens_per_ms = 46;
+    double quota_per_second = 0;
+    dispatch::policy policy = dispatch::policy::engine_model;
+
+    /// @brief Plays requests, in order of time.
+    [[nodiscard]] played_result play(const std::vector<played_request>& load) const;
+};
+
+} // namespace hibiscusfall::testing
--- /dev/null
+++ b/tests/dispatch/placement_test.cpp
@@ -0,0 +1,184 @@
+#include "load_play.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+using testing::load_play;
+using testing::played_request;
+
+namespace
+{
+
+constexpr core::instant start{1h};
+
+/// Long documents, each asked about many times, at about the given part of what the engines can read when
+/// each document is read once.
+std::vector<played_request> documents(double load, int engines, int count)
+{
+    std::minstd_rand draw{7};
+    const double own_tokens = 1500;
+    const double per_second = load * engines * 46000 / own_tokens;
+    std::exponential_distribution<double> gap{per_second};
+    std::vector<played_request> result;
+    double at = 0;
+    for (int i = 0; i < count; ++i) {
+        at += gap(draw);
+        const auto document = static_cast<std::uint64_t>(draw() % 40);
+        result.push_back(
+            {.at = core::duration{static_cast<core::duration::rep>(at * 1e6)},
+             .team = core::team_id{"team-" + std::to_string(document % 8)},
+             .generation = {.parts = {{.id = 1000 + document, .tokens = 4800},
+                                      {.id = 100000 + static_cast<std::uint64_t>(i), .tokens = 1500}},
+                            .tokens_in = 6300,
+                            .tokens_out = 300},
+             .aim = 800ms});
+    }
+    return result;
+}
+
+dispatch::fleet_book book_of(std::initializer_list<std::pair<const char*, const char*>> endpoints, bool engines)
+{
+    dispatch::fleet_book book;
+    book.own_domain = core::failure_domain_id{"north"};
+    catalog::route_table table;
+    const core::service_id service{"desk"};
+    table.services[service] = {.id = service};
+    if (engines) {
+        table.services[service].engine = catalog::engine_properties{.batch = 4, .memory_tokens = 100000};
+    }
+    catalog::endpoint_list list;
+    for (const auto& [name, domain] : endpoints) {
+        list.entries[name] = {.id = core::endpoint_id{name},
+                              .service = service,
+                              .address = {.host = "10.0.0.1", .port = 80},
+                              .domain = core::failure_domain_id{domain},
+                              .slots = 2};
+    }
+    dispatch::update_endpoints(book, list, table, 1);
+    return book;
+}
+
+dispatch::candidate call(core::instant now)
+{
+    return {.service = core::service_id{"desk"}, .arrived = now, .deadline = now + 1s, .aim = 100ms};
+}
+
+dispatch::endpoint_state& state_of(dispatch::fleet_book& book, std::string_view id)
+{
+    return *std::find_if(book.endpoints.begin(), book.endpoints.end(), [&](const auto& each) {
+        return each.entry.id.view() == id;
+    });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(placement_test)
+
+BOOST_AUTO_TEST_CASE(kept_parts_are_read_once_and_more_callers_are_on_time_than_by_least_in_flight)
+{
+    const auto load = documents(0.7, 4, 3000);
+    const auto by_model = load_play{.policy = dispatch::policy::engine_model}.play(load);
+    const auto by_count = load_play{.policy = dispatch::policy::least_in_flight}.play(load);
+    BOOST_TEST_MESSAGE("on time " << by_model.on_time << " and " << by_count.on_time << ", read again "
+                                  << by_model.read_again << " and " << by_count.read_again);
+    BOOST_TEST(by_model.on_time > 3000 * 9 / 10);
+    BOOST_TEST(by_model.on_time > by_count.on_time);
+    BOOST_TEST(by_model.read_again * 4 < by_count.read_again);
+}
+
+BOOST_AUTO_TEST_CASE(beyond_capacity_the_placed_requests_are_on_time_and_the_rest_is_refused)
+{
+    const auto load = documents(1.8, 4, 3000);
+    const auto with_admission = load_play{}.play(load);
+    const auto without = load_play{.policy = dispatch::policy::no_admission}.play(load);
+    BOOST_TEST_MESSAGE("on time " << with_admission.on_time << " and " << without.on_time);
+    BOOST_TEST(with_admission.on_time > 2 * without.on_time);
+    BOOST_TEST(with_admission.late * 20 < with_admission.on_time);
+}
+
+BOOST_AUTO_TEST_CASE(a_team_that_floods_does_not_take_the_share_of_others)
+{
+    auto load = documents(0.5, 4, 1500);
+    auto flood = documents(2.0, 4, 6000);
+    for (auto& each : flood) {
+        each.team = core::team_id{"flood"};
+    }
+    load.insert(load.end(), flood.begin(), flood.end());
+    std::stable_sort(load.begin(), load.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+    // A quota counts kept parts like those read: the teams ask for 423,000 tokens a second, the flood for 1.7 million.
+    constexpr double quota = 600000;
+    const auto result = load_play{.quota_per_second = quota}.play(load);
+    double asked_by_one = 0;
+    for (const auto& each : load) {
+        asked_by_one += each.team.view() == "team-1" ? dispatch::share_cost(each.generation) : 0.0;
+    }
+    BOOST_TEST(result.given_by_team.at("team-1") > 0.9 * asked_by_one);
+}
+
+BOOST_AUTO_TEST_CASE(a_plain_call_is_not_refused_while_a_slot_is_free)
+{
+    auto book = book_of({{"a", "north"}, {"b", "north"}}, false);
+    const dispatch::prompt none;
+    for (int i = 0; i < 4; ++i) {
+        const auto decision = dispatch::place(book, call(start), dispatch::policy::engine_model, start);
+        BOOST_REQUIRE(decision.placed);
+        (void)dispatch::note_sent(book, decision.endpoint, none, start);
+    }
+    BOOST_TEST(state_of(book, "a").model.own_running == 2U);
+    BOOST_TEST(state_of(book, "b").model.own_running == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_plain_service_with_a_long_queue_refuses_and_says_when_to_come_back)
+{
+    auto book = book_of({{"a", "north"}}, false);
+    state_of(book, "a").model.others_running = 50;
+    const auto decision = dispatch::place(book, call(start), dispatch::policy::engine_model, start);
+    BOOST_TEST(!decision.placed);
+    BOOST_TEST((decision.reason == core::failure::queue_full || decision.reason == core::failure::deadline));
+    BOOST_TEST((decision.retry_after > core::duration::zero()));
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_rests_is_used_when_no_other_is_left)
+{
+    auto book = book_of({{"a", "north"}, {"b", "north"}}, false);
+    state_of(book, "a").health.rests_until = start + 1s;
+    BOOST_TEST(dispatch::place(book, call(start), dispatch::policy::engine_model, start).endpoint ==
+               state_of(book, "b").tag);
+    auto request = call(start);
+    const std::array tried{state_of(book, "b").tag};
+    request.excluded = tried;
+    BOOST_TEST(dispatch::place(book, request, dispatch::policy::engine_model, start).endpoint ==
+               state_of(book, "a").tag);
+}
+
+BOOST_AUTO_TEST_CASE(a_domain_that_fell_silent_is_avoided)
+{
+    auto book = book_of({{"a", "north"}, {"b", "south"}}, false);
+    state_of(book, "a").model.others_running = 2;
+    book.domain_heard[core::failure_domain_id{"south"}] = start;
+    BOOST_TEST(dispatch::place(book, call(start), dispatch::policy::engine_model, start).endpoint ==
+               state_of(book, "b").tag);
+    const auto later = start + 1s;
+    BOOST_TEST(dispatch::place(book, call(later), dispatch::policy::engine_model, later).endpoint ==
+               state_of(book, "a").tag);
+}
+
+BOOST_AUTO_TEST_CASE(without_endpoints_a_request_is_refused_at_once)
+{
+    const auto book = book_of({}, false);
+    const auto decision = dispatch::place(book, call(start), dispatch::policy::engine_model, start);
+    BOOST_TEST(!decision.placed);
+    BOOST_TEST((decision.reason == core::failure::no_endpoint));
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_endpoint_gets_nothing)
+{
+    auto book = book_of({{"a", "north"}}, true);
+    state_of(book, "a").listed = false;
+    BOOST_TEST(!dispatch::place(book, call(start), dispatch::policy::engine_model, start).placed);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/peers/load_report_test.cpp
@@ -0,0 +1,143 @@
+#include "hibiscusfall/peers/load_report.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <random>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr core::instant start{1h};
+
+dispatch::fleet_book book_with(dispatch::endpoint_tag& tag)
+{
+    dispatch::fleet_book book;
+    book.own_domain = core::failure_domain_id{"north"};
+    catalog::route_table table;
+    const core::service_id service{"draft"};
+    table.services[service] = {.id = service,
+                               .engine = catalog::engine_properties{.batch = 64, .memory_tokens = 1000}};
+    catalog::endpoint_list list;
+    list.entries["a"] = {.id = core::endpoint_id{"a"},
+                         .service = service,
+                         .address = {.host = "10.0.0.1", .port = 80},
+                         .domain = book.own_domain};
+    dispatch::update_endpoints(book, list, table, 2);
+    tag = book.endpoints.front().tag;
+    return book;
+}
+
+peers::load_report report(std::uint64_t sequence, dispatch::endpoint_tag tag, std::uint64_t sent, std::uint32_t running)
+{
+    return {.instance = "peer",
+            .incarnation = 1,
+            .sequence = sequence,
+            .domain = "south",
+            .address = "10.0.0.2:7400",
+            .endpoints = {{.endpoint = tag, .sent = sent, .running = running}}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(load_report_test)
+
+BOOST_AUTO_TEST_CASE(a_report_survives_the_wire)
+{
+    auto original = report(3, 9, 100, 2);
+    original.parts = {{.part = 77, .endpoint = 9}};
+    original.members = {"10.0.0.3:7400"};
+    const auto bytes = peers::encode(original);
+    const auto read = peers::decode({bytes.data(), bytes.size()});
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read->sequence == 3U);
+    BOOST_TEST(read->endpoints.front().sent == 100U);
+    BOOST_TEST(read->parts.front().part == 77U);
+    BOOST_TEST(read->members.front() == "10.0.0.3:7400");
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_report_are_refused)
+{
+    BOOST_TEST(rc::check("any bytes are read without harm", [] {
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        const auto read = peers::decode({bytes.data(), bytes.size()});
+        RC_ASSERT(!read || !read->instance.empty());
+    }));
+    auto other = report(1, 1, 1, 1);
+    other.format = 2;
+    const auto bytes = peers::encode(other);
+    BOOST_TEST(!peers::decode({bytes.data(), bytes.size()}).has_value());
+    const auto cut = peers::encode(report(1, 1, 1, 1));
+    BOOST_TEST(!peers::decode({cut.data(), cut.size() - 1}).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(lost_doubled_and_crossed_reports_end_in_the_newest_totals)
+{
+    BOOST_TEST(rc::check("the newest report that arrived decides", [] {
+        dispatch::endpoint_tag tag = 0;
+        auto book = book_with(tag);
+        peers::apply(book, report(1, tag, 0, 0), start);
+        std::vector<std::uint64_t> order;
+        const auto count = *rc::gen::inRange<std::uint64_t>(2, 12);
+        for (std::uint64_t sequence = 2; sequence <= count; ++sequence) {
+            const auto copies = *rc::gen::inRange(0, 3); // lost, once or doubled
+            order.insert(order.end(), static_cast<std::size_t>(copies), sequence);
+        }
+        std::minstd_rand crossing{*rc::gen::inRange(1U, 100000U)};
+        std::shuffle(order.begin(), order.end(), crossing);
+        std::uint64_t newest = 1;
+        for (const auto sequence : order) {
+            peers::apply(book, report(sequence, tag, sequence * 100, static_cast<std::uint32_t>(sequence)), start);
+            newest = std::max(newest, sequence);
+        }
+        const auto& model = book.endpoints.front().model;
+        RC_ASSERT(model.others_running == (newest == 1 ? 0U : newest));
+        RC_ASSERT(model.sent_total == (newest == 1 ? 0U : newest * 100));
+    }));
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_peer_begins_anew)
+{
+    dispatch::endpoint_tag tag = 0;
+    auto book = book_with(tag);
+    peers::apply(book, report(9, tag, 5000, 7), start);
+    auto again = report(1, tag, 0, 1);
+    again.incarnation = 2;
+    BOOST_TEST(peers::apply(book, again, start));
+    BOOST_TEST(book.endpoints.front().model.others_running == 1U);
+    BOOST_TEST(!peers::apply(book, report(10, tag, 6000, 9), start)); // a late one of its earlier life
+    BOOST_TEST(book.endpoints.front().model.others_running == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_running_requests_of_a_silent_peer_are_forgotten)
+{
+    dispatch::endpoint_tag tag = 0;
+    auto book = book_with(tag);
+    peers::apply(book, report(1, tag, 0, 7), start);
+    dispatch::tidy(book, start + 1s);
+    BOOST_TEST(book.endpoints.front().model.others_running == 7U);
+    dispatch::tidy(book, start + 2s);
+    BOOST_TEST(book.endpoints.front().model.others_running == 0U);
+    peers::apply(book, report(2, tag, 0, 3), start + 3s);
+    BOOST_TEST(book.endpoints.front().model.others_running == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(teams_totals_are_added_up_over_the_peers)
+{
+    dispatch::endpoint_tag tag = 0;
+    auto book = book_with(tag);
+    auto first = report(1, tag, 0, 0);
+    first.teams = {{.team = 5, .asked = 1000, .given = 400}};
+    peers::apply(book, first, start);
+    auto second = report(2, tag, 0, 0);
+    second.teams = {{.team = 5, .asked = 1500, .given = 600}};
+    peers::apply(book, second, start);
+    BOOST_TEST(book.shares.teams.at(5).asked_sum == 500.0);
+    BOOST_TEST(book.shares.teams.at(5).given_sum == 200.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/relay/relay_fixture.cpp
@@ -0,0 +1,234 @@
+#include "relay_fixture.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+
+#include <charconv>
+#include <future>
+
+namespace hibiscusfall::testing
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using relay::to_beast;
+using relay::to_view;
+
+relay::request_facts read_request(const relay::request_head& head)
+{
+    relay::request_facts facts{.id = std::string{head["X-Request-Id"]},
+                               .key = std::string{head["X-Key"]},
+                               .time_left = {},
+                               .generation = {},
+                               .last_event_id = std::string{head["Last-Event-Id"]}};
+    const auto left = to_view(head["X-Time-Left"]);
+    int milliseconds = 0;
+    if (std::from_chars(left.data(), left.data() + left.size(), milliseconds).ec == std::errc{}) {
+        facts.time_left = std::chrono::milliseconds{milliseconds};
+    }
+    return facts;
+}
+
+void prepare_forwarding(relay::request_head& head, const relay::forwarding& facts)
+{
+    relay::remove_connection_headers(head, [](std::string_view name) { return name == "X-Request-Id"; });
+    head.erase(relay::http::field::content_length);
+    head.erase("X-Key");
+    head.set("X-Time-Left",
+             std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(facts.time_left).count()));
+    head.set("X-Endpoint", to_beast(facts.endpoint->view()));
+    head.erase("X-Team");
+    if (facts.team != nullptr) {
+        head.set("X-Team", to_beast(facts.team->view()));
+    }
+    if (!facts.last_event_id.empty()) {
+        head.set("Last-Event-ID", to_beast(facts.last_event_id));
+    }
+}
+
+relay::answer_facts read_answer(const relay::answer_head& head)
+{
+    return {.request_id = to_view(head["X-Request-Id"]),
+            .is_signed = !head["X-Signature"].empty(),
+            .not_run = head.find("X-Not-Run") != head.end(),
+            .idle_timeout = {}};
+}
+
+constexpr relay::dialect plain_dialect{.read_request = read_request,
+                                       .prepare_forwarding = prepare_forwarding,
+                                       .read_answer = read_answer,
+                                       .request_id_header = "X-Request-Id"};
+
+std::uint16_t free_port()
+{
+    asio::io_context io;
+    tcp::acceptor acceptor{io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    return acceptor.local_endpoint().port();
+}
+
+bool readable(tcp::socket& socket, std::chrono::steady_clock::time_point until)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+    pollfd waiting{.fd = socket.native_handle(), .events = POLLIN, .revents = 0};
+    return left.count() > 0 && ::poll(&waiting, 1, static_cast<int>(left.count())) > 0;
+}
+
+} // namespace
+
+raw_caller::raw_caller(std::uint16_t port)
+{
+    this->socket.connect({asio::ip::address_v4::loopback(), port});
+}
+
+void raw_caller::send(std::string_view bytes)
+{
+    boost::system::error_code error;
+    asio::write(this->socket, asio::buffer(bytes.data(), bytes.size()), error);
+}
+
+std::string raw_caller::read_until(std::string_view text, std::chrono::milliseconds limit)
+{
+    const auto until = std::chrono::steady_clock::now() + limit;
+    std::string seen;
+    std::array<char, 4096> piece{};
+    while ((text.empty() || seen.find(text) == std::string::npos) && readable(this->socket, until)) {
+        boost::system::error_code error;
+        const auto got = this->socket.read_some(asio::buffer(piece), error);
+        seen.append(piece.data(), got);
+        if (error) {
+            break;
+        }
+    }
+    return seen;
+}
+
+std::string raw_caller::read_all(std::chrono::milliseconds limit)
+{
+    return this->read_until({}, limit);
+}
+
+void raw_caller::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+relay_fixture::relay_fixture(std::vector<scripted_endpoint::script> scripts, catalog::route route)
+    : callers(free_port())
+{
+    for (auto& script : scripts) {
+        this->endpoints.push_back(std::make_unique<scripted_endpoint>(std::move(script)));
+    }
+    const core::service_id service{"desk"};
+    if (route.prefix.empty()) {
+        route = route_of(catalog::route_kind::non_idempotent);
+    }
+    auto table = std::make_shared<catalog::route_table>();
+    table->version = 1;
+    table->routes.push_back(route);
+    table->services[service] = {.id = service};
+    table->teams.push_back({.id = core::team_id{"huts"}});
+    table->keys.emplace("secret", 0);
+    table->limits.head_timeout = std::chrono::milliseconds{400};
+    catalog::index_routes(*table);
+    catalog::endpoint_list list;
+    for (std::size_t i = 0; i < this->endpoints.size(); ++i) {
+        const auto name = "e" + std::to_string(i);
+        list.entries[name] = {.id = core::endpoint_id{name},
+                              .service = service,
+                              .address = this->endpoints[i]->address(),
+                              .domain = core::failure_domain_id{"north"},
+                              .slots = 4};
+    }
+    this->entry = std::make_unique<relay::entry>(
+        this->loop,
+        plain_dialect,
+        relay::entry_options{.instance = core::instance_id{"entry"},
+                             .domain = core::failure_domain_id{"north"},
+                             .callers = {.host = "127.0.0.1", .port = this->callers},
+                             .readiness = {.host = "127.0.0.1", .port = free_port()},
+                             .repeats = {.ratio = 1, .slack = 100}});
+    this->entry->use(table);
+    this->entry->use(list);
+    this->entry->listen();
+    this->thread = std::thread{[this] { this->loop.run(); }};
+}
+
+relay_fixture::~relay_fixture()
+{
+    asio::post(this->loop.context(), [this] { this->loop.stop(); });
+    this->thread.join();
+}
+
+std::vector<received_request> relay_fixture::received() const
+{
+    std::vector<received_request> all;
+    for (const auto& endpoint : this->endpoints) {
+        const auto requests = endpoint->requests();
+        all.insert(all.end(), requests.begin(), requests.end());
+    }
+    return all;
+}
+
+void relay_fixture::on_loop(const std::function<void(relay::entry&)>& task)
+{
+    std::promise<void> done;
+    asio::post(this->loop.context(), [&] {
+        task(*this->entry);
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+std::string relay_fixture::ask(std::string_view request)
+{
+    raw_caller caller{this->callers};
+    caller.send(request);
+    return caller.read_all();
+}
+
+catalog::route route_of(catalog::route_kind kind, std::uint32_t max_attempts, bool resumable)
+{
+    return {.name = "r",
+            .host = "a.example",
+            .prefix = "/x/",
+            .kind = kind,
+            .services = {{.service = core::service_id{"desk"}}},
+            .timeout = std::chrono::milliseconds{1500},
+            .aim = std::chrono::milliseconds{300},
+            .max_attempts = max_attempts,
+            .resumable = resumable};
+}
+
+std::string request_bytes(std::string_view id, std::string_view more_headers, std::string_view body)
+{
+    return "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: secret\r\nX-Request-Id: " + std::string{id} +
+           "\r\nConnection: close\r\n" + std::string{more_headers} +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string{body};
+}
+
+std::string signed_answer(std::string_view id, std::string_view body, int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Status\r\nX-Signature: s\r\nX-Request-Id: " +
+           std::string{id} + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           std::string{body};
+}
+
+std::string signed_stream_head(std::string_view id)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Signature: s\r\nX-Request-Id: " +
+           std::string{id} + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string not_run_answer(std::string_view id)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: " + std::string{id} +
+           "\r\nContent-Length: 0\r\n\r\n";
+}
+
+} // namespace hibiscusfall::testing
--- /dev/null
+++ b/tests/relay/stream_relay_test.cpp
@@ -0,0 +1,182 @@
+#include "relay_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusfall;
+using namespace hibiscusfall::testing;
+using namespace std::chrono_literals;
+using catalog::route_kind;
+
+namespace
+{
+
+const std::string last_chunk = "0\r\n\r\n";
+
+bool contains(const std::string& text, std::string_view part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::size_t count(const std::string& text, std::string_view part)
+{
+    std::size_t found = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++found;
+    }
+    return found;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(stream_relay_test)
+
+BOOST_AUTO_TEST_CASE(events_are_passed_on_as_they_arrive)
+{
+    const auto slow = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 2));
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{slow}, route_of(route_kind::stream)};
+    raw_caller caller{fixture.port()};
+    caller.send(request_bytes("1"));
+    const auto seen = caller.read_until("id: 1", 2s);
+    BOOST_TEST(contains(seen, "X-Signature: s"));
+    BOOST_TEST(contains(seen, "id: 1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_stream_ends_as_whole)
+{
+    const auto whole = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 5) + last_chunk);
+        }
+    };
+    relay_fixture fixture{{whole}, route_of(route_kind::stream)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(count(answer, "id: ") == 4U);
+    BOOST_TEST(answer.ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_does_not_look_whole_and_is_not_run_again)
+{
+    const auto breaking = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 3) + chunk("id: 3\nda"));
+        connection.reset();
+    };
+    relay_fixture fixture{{breaking, breaking}, route_of(route_kind::stream)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(!answer.ends_with(last_chunk));
+    BOOST_TEST(!contains(answer, "id: 3"));
+    BOOST_TEST(fixture.received().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_ends_inside_an_event_does_not_look_whole)
+{
+    const auto torn = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 3) + chunk("id: 3\nda") + last_chunk);
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{torn}, route_of(route_kind::stream)};
+    BOOST_TEST(!fixture.ask(request_bytes("1")).ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_elsewhere_after_its_last_whole_event)
+{
+    std::atomic<int> asked{0};
+    const auto script = [&asked](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        if (asked++ == 0) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 4) + chunk("id: 4\nda"));
+            connection.reset();
+            return;
+        }
+        const int next = request->last_event_id.empty() ? 1 : std::stoi(request->last_event_id) + 1;
+        connection.write(signed_stream_head(request->id) + event_chunks(next, 7) + last_chunk);
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    for (int id = 1; id < 7; ++id) {
+        BOOST_TEST(count(answer, "id: " + std::to_string(id) + "\n") == 1U);
+    }
+    BOOST_TEST(count(answer, "HTTP/1.1") == 1U);
+    BOOST_TEST(answer.ends_with(last_chunk));
+    const auto requests = fixture.received();
+    BOOST_TEST(requests.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_starts_over_is_not_joined_to_a_resumed_stream)
+{
+    std::atomic<int> asked{0};
+    const auto script = [&asked](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        const bool first = asked++ == 0;
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 4));
+        if (!first) {
+            connection.write(last_chunk);
+            connection.wait_for_close();
+            return;
+        }
+        connection.reset();
+    };
+    relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(count(answer, "id: 1\n") == 1U);
+    BOOST_TEST(!answer.ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_that_hangs_before_its_first_event_starts_elsewhere)
+{
+    std::atomic<int> asked{0};
+    const auto script = [&asked](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        if (asked++ > 0) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 3) + last_chunk);
+        }
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+    BOOST_TEST(fixture.ask(request_bytes("1", "X-Time-Left: 5000\r\n")).ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_instance_serves_what_is_open_and_refuses_late_streams)
+{
+    const auto slow = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 2));
+            std::this_thread::sleep_for(600ms);
+            connection.write(event_chunks(2, 3) + last_chunk);
+        }
+    };
+    relay_fixture fixture{{slow}, route_of(route_kind::stream)};
+    raw_caller open{fixture.port()};
+    open.send(request_bytes("1"));
+    (void)open.read_until("id: 1");
+    fixture.on_loop([](relay::entry& entry) {
+        entry.leave([] {});
+        BOOST_TEST(!entry.ready());
+    });
+    BOOST_TEST(open.read_all().ends_with(last_chunk));
+    const auto soon = fixture.ask(request_bytes("2"));
+    BOOST_TEST(contains(soon, "Connection: close"));
+    BOOST_TEST(soon.ends_with(last_chunk));
+    fixture.on_loop([](relay::entry& entry) { entry.left_at -= 3s; });
+    const auto late = fixture.ask(request_bytes("3"));
+    BOOST_TEST(contains(late, "503"));
+    BOOST_TEST(contains(late, "Retry-After"));
+    BOOST_TEST(fixture.received().size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/traffic/scripted_endpoint.cpp
+++ b/tests/traffic/scripted_endpoint.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdio>
 
 namespace hibiscusfall::testing
@@ -26,7 +28,15 @@
                             .target = std::string{request.target()},
                             .id = std::string{request["X-Request-Id"]},
                             .last_event_id = std::string{request["Last-Event-ID"]},
-                            .body = request.body()};
+                            .body = request.body(),
+                            .fields = {}};
+    for (const auto& field : request) {
+        std::string name{field.name_string()};
+        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) {
+            return static_cast<char>(std::tolower(letter));
+        });
+        result.fields[name] = std::string{field.value()};
+    }
     const bool is_cancel = result.target == "/v1/cancel";
     {
         const std::lock_guard lock(this->owner.mutex);
--- a/tests/traffic/scripted_endpoint.hpp
+++ b/tests/traffic/scripted_endpoint.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -26,6 +27,7 @@
     std::string id;            ///< X-Request-Id.
     std::string last_event_id; ///< Last-Event-ID; empty when the request is no resume.
     std::string body;
+    std::map<std::string, std::string> fields; ///< Every header, by its name in lower case.
 };
 
 class scripted_endpoint;
