Log when a stream's first event came and its longest pause

Cause: an answer that was late could not be explained from the log: a late start and a long pause look the same.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -153,6 +153,16 @@
     co_await state.caller.write(status, text);
 }
 
+void note_event(request_state& state, core::instant now)
+{
+    if (state.first_event == core::duration::zero()) {
+        state.first_event = core::elapsed(state.arrived, now);
+    } else {
+        state.longest_pause = std::max(state.longest_pause, core::elapsed(state.last_event, now));
+    }
+    state.last_event = now;
+}
+
 /// Passes whole events on until the stream ends.
 asio::awaitable<attempt_end> relay_events(request_state& state,
                                           std::shared_ptr<endpoint_link> link,
@@ -189,8 +199,9 @@
         if (state.events.ready.empty()) {
             continue;
         }
+        const auto now = event_loop::now();
+        note_event(state, now);
         if (!running.started) {
-            const auto now = event_loop::now();
             const auto error = dispatch::note_started(state.owner.book, running, now);
             state.owner.first_bytes.record(error.seen);
             if (error.seen >= error.expected) {
