--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -29,10 +29,10 @@
     core::instant timeout_at{}; ///< When the route's timeout ends the wait for an answer.
     bool head_sent = false;     ///< Whether the caller has got the head of an answer.
     traffic::event_scanner events{};
-    std::uint32_t runs = 0; ///< Endpoints at which it ran or may have run.
-    core::instant last_event{};      ///< When an event was last passed on.
-    core::duration first_event{};    ///< From the request's arrival to the first event; zero before it.
-    core::duration longest_pause{};  ///< Between two events.
+    std::uint32_t runs = 0;         ///< Endpoints at which it ran or may have run.
+    core::instant last_event{};     ///< When an event was last passed on.
+    core::duration first_event{};   ///< From the request's arrival to the first event; zero before it.
+    core::duration longest_pause{}; ///< Between two events.
 };
 
 /// @brief An endpoint's whole answer, kept until it is sure that it goes to the caller.
