Let two instances read the store, and the others learn from them

Ruled out: fewer, longer watches; a silent connection must be found in time for the bound of the configuration. Change: the two instances that come first by rendezvous among those that are heard and reach the store read it; others see newer versions in the reports and fetch a copy. An instance that hears nobody reads for itself. Conclusion: calls no longer grow with the fleet.

--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -49,6 +49,7 @@
 #include "hibiscusfall/peers/catalog_copy.hpp"
 #include "hibiscusfall/peers/load_report.hpp"
 #include "hibiscusfall/peers/peer_exchange.hpp"
+#include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/placement/placement.hpp"
 #include "hibiscusfall/platform/instance_list.hpp"
 #include "hibiscusfall/platform/store_client.hpp"
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -47,6 +47,10 @@
     std::string address; ///< Where it takes datagrams and catalog connections.
     std::uint64_t table_version = 0;
     std::uint64_t list_revision = 0;
+    std::uint64_t list_digest = 0; ///< Of the endpoints that it knows.
+    std::uint32_t store_age_ms =
+        0; ///< Since the store last confirmed the configuration to it, or to its source.
+    bool store_troubled = false; ///< Whether its last call of the store failed.
     bool leaving = false;
     std::vector<endpoint_totals> endpoints{};
     std::vector<team_totals> teams{};
@@ -60,6 +64,9 @@
                    address,
                    table_version,
                    list_revision,
+                   list_digest,
+                   store_age_ms,
+                   store_troubled,
                    leaving,
                    endpoints,
                    teams,
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -30,7 +30,14 @@
     std::function<void(const catalog_copy&)> take;
     std::function<std::uint64_t()> table_version;
     std::function<std::uint64_t()> list_revision;
-    std::function<bool()> store_silent; ///< Whether the store has not answered for a while.
+    std::function<std::uint64_t()> list_digest;
+    std::function<core::duration(core::instant now)>
+        store_age;                        ///< Since the store confirmed the configuration.
+    std::function<bool()> store_troubled; ///< Whether the last call of the store failed.
+    std::function<void(bool)> read_store; ///< Told whether this instance is to read the store.
+    /// Told that a peer that reads the store knows the same endpoints, up to a revision, and how old its
+    /// configuration, which is the same too, was when it was last confirmed.
+    std::function<void(std::uint64_t revision, core::duration age)> confirm;
 };
 
 /// @brief Counts of the exchange.
@@ -67,6 +74,10 @@
         core::instant added{};
         std::uint64_t table_version = 0;
         std::uint64_t list_revision = 0;
+        std::uint64_t list_digest = 0;
+        core::duration store_age{}; ///< When it was heard.
+        bool store_troubled = false;
+        bool leaving = false;
     };
     using udp = relay::asio::ip::udp;
 
@@ -74,6 +85,7 @@
     load_report make_report(core::instant now, bool whole);
     void send(const std::string& datagram, core::instant now);
     void take(const load_report& report, core::instant now);
+    void choose_readers(core::instant now);
     void ask_for_copy(core::instant now);
     relay::asio::awaitable<void> receive();
     relay::asio::awaitable<void> serve_copies();
@@ -94,6 +106,7 @@
     std::array<char, 65536> datagram{};
     bool fetching = false;
     core::instant behind_since = core::instant::max();
+    bool reading = true;
     exchange_counters counted;
 };
 
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -1,5 +1,6 @@
 #include "hibiscusfall/peers/peer_exchange.hpp"
 
+#include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,10 +40,15 @@
 constexpr core::duration member_memory = std::chrono::seconds{60};
 /// Time in which an instance hears of a new version from the store itself.
 constexpr core::duration behind_limit = milliseconds{250};
+/// Who reads the store is looked at this often.
+constexpr core::duration reader_interval = milliseconds{100};
 constexpr core::duration copy_limit = milliseconds{1500};
 constexpr std::size_t most_parts = 200;
 constexpr std::uint64_t largest_copy = 32U << 20U;
 
+/// Stands for an age that is not known.
+constexpr std::uint32_t unknown_age_ms = 3600000;
+
 udp::endpoint to_endpoint(const core::address& at)
 {
     return {asio::ip::make_address_v4(at.host), at.port};
@@ -53,6 +59,12 @@
     return least_interval + interval_for_member * static_cast<int>(members);
 }
 
+std::uint32_t to_milliseconds(core::duration value)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(value).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, unknown_age_ms));
+}
+
 asio::awaitable<void> send_copy(tcp::socket to, std::string bytes)
 {
     std::uint64_t size = bytes.size();
@@ -96,6 +108,7 @@
     asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
     asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
     this->entry.loop.every(least_interval, [this](core::instant now) { this->tick(now); });
+    this->entry.loop.every(reader_interval, [this](core::instant now) { this->choose_readers(now); });
 }
 
 std::uint32_t peer_exchange::live_instances(core::instant now) const
@@ -135,6 +148,9 @@
                        .address = core::to_string(this->options.inner),
                        .table_version = this->ports.table_version(),
                        .list_revision = this->ports.list_revision(),
+                       .list_digest = this->ports.list_digest(),
+                       .store_age_ms = to_milliseconds(this->ports.store_age(now)),
+                       .store_troubled = this->ports.store_troubled(),
                        .leaving = this->entry.leaving};
     for (const auto& state : this->entry.book.endpoints) {
         const std::pair totals{state.own_sent_total, state.model.own_running};
@@ -208,6 +224,14 @@
     known.heard = now;
     known.table_version = report.table_version;
     known.list_revision = report.list_revision;
+    known.list_digest = report.list_digest;
+    known.store_age = milliseconds{report.store_age_ms};
+    known.store_troubled = report.store_troubled;
+    known.leaving = report.leaving;
+    if (report.table_version == this->ports.table_version() &&
+        report.list_digest == this->ports.list_digest()) {
+        this->ports.confirm(report.list_revision, known.store_age);
+    }
     for (const auto& address : report.members) {
         if (const auto parsed = core::parse_address(address)) {
             this->add_member(*parsed);
@@ -216,6 +240,25 @@
     apply(this->entry.book, report, now);
 }
 
+void peer_exchange::choose_readers(core::instant now)
+{
+    std::vector<reader_candidate> others;
+    others.reserve(this->members.size());
+    for (const auto& [address, known] : this->members) {
+        others.push_back({.name = known.name,
+                          .heard = known.heard,
+                          .store_troubled = known.store_troubled,
+                          .leaving = known.leaving});
+    }
+    const bool chosen = reads_store(this->entry.options.instance.view(), others, now);
+    if (chosen != this->reading) {
+        telemetry::write(
+            telemetry::log_event{"store_reader"}.with("reads", chosen).with("known", others.size()));
+    }
+    this->reading = chosen;
+    this->ports.read_store(chosen);
+}
+
 void peer_exchange::ask_for_copy(core::instant now)
 {
     if (this->fetching) {
@@ -223,11 +266,13 @@
     }
     const auto version = this->ports.table_version();
     const auto revision = this->ports.list_revision();
-    const bool silent = this->ports.store_silent();
+    const auto digest = this->ports.list_digest();
+    const bool reads_well = this->reading && !this->ports.store_troubled();
     const core::address* best = nullptr;
     std::uint64_t newest = 0;
     for (const auto& [address, known] : this->members) {
-        const bool ahead = known.table_version > version || (silent && known.list_revision > revision);
+        const bool newer_list = known.list_revision > revision && known.list_digest != digest;
+        const bool ahead = known.table_version > version || (newer_list && !reads_well);
         if (ahead && known.heard + member_silence > now && known.list_revision >= newest) {
             newest = known.list_revision;
             best = &address;
@@ -238,7 +283,7 @@
         return;
     }
     this->behind_since = std::min(this->behind_since, now);
-    if (now - this->behind_since < behind_limit) {
+    if (now - this->behind_since < (reads_well ? behind_limit : core::duration::zero())) {
         return;
     }
     this->behind_since = core::instant::max();
--- /dev/null
+++ b/src/peers/store_readers.cpp
@@ -0,0 +1,30 @@
+#include "hibiscusfall/peers/store_readers.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace hibiscusfall::peers
+{
+
+namespace
+{
+
+std::uint64_t rank(std::string_view name)
+{
+    return XXH64(name.data(), name.size(), 1);
+}
+
+} // namespace
+
+bool reads_store(std::string_view own_name, std::span<const reader_candidate> others, core::instant now)
+{
+    const auto own = rank(own_name);
+    const auto before = std::count_if(others.begin(), others.end(), [&](const reader_candidate& each) {
+        return !each.name.empty() && !each.store_troubled && !each.leaving &&
+               now - each.heard <= reader_silence && rank(each.name) < own;
+    });
+    return before < readers;
+}
+
+} // namespace hibiscusfall::peers
