Tell other failure domains through one instance each, and only what changed

Ruled out: longer intervals; what a peer placed would be known too late, and the bytes would still grow squared. Change: a report goes to the instances of its own domain and to one of each other domain, chosen by rendezvous, which passes it on; teams are told when they change; an instance that starts reads the store only when no other does. Conclusion: bytes between domains grow with the instances times the domains.

--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -70,6 +70,7 @@
 private:
     struct member {
         std::string name{}; ///< Empty until it was heard.
+        std::string domain{};
         core::instant heard{};
         core::instant added{};
         std::uint64_t table_version = 0;
@@ -83,7 +84,11 @@
 
     void tick(core::instant now);
     load_report make_report(core::instant now, bool whole);
-    void send(const std::string& datagram, core::instant now);
+    void add_work(load_report& report, bool whole);
+    void send(std::string& datagram, core::instant now);
+    void send_to(const core::address& to, const std::string& datagram);
+    void forward(std::string& datagram, core::instant now);
+    [[nodiscard]] std::map<std::string_view, const core::address*> representatives(core::instant now) const;
     void take(const load_report& report, core::instant now);
     void choose_readers(core::instant now);
     void ask_for_copy(core::instant now);
@@ -102,6 +107,7 @@
     core::instant last_sent{};
     core::instant last_whole{};
     std::unordered_map<dispatch::endpoint_tag, std::pair<std::uint64_t, std::uint32_t>> told;
+    std::unordered_map<dispatch::team_tag, std::pair<double, double>> told_teams;
     std::vector<part_sent> last_parts;
     std::array<char, 65536> datagram{};
     bool fetching = false;
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -32,7 +32,8 @@
 /// @brief What one instance placed itself, for the reports to its peers.
 struct own_work {
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> teams; ///< Asked and given, totals.
-    std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>> parts;     ///< Since the last report.
+    std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>>
+        parts; ///< Shared ones, since the last report.
 };
 
 /// @brief Takes callers' requests and relays them to endpoints, on one event loop.
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -3,6 +3,8 @@
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
+#include <xxhash.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -42,7 +44,15 @@
 constexpr core::duration behind_limit = milliseconds{250};
 /// Who reads the store is looked at this often.
 constexpr core::duration reader_interval = milliseconds{100};
+/// An instance that starts hears of the others before it reads the store itself: all start within 0.3 s, and
+/// tell their members every half second.
+constexpr core::duration first_choice = milliseconds{700};
 constexpr core::duration copy_limit = milliseconds{1500};
+/// Silence after which another instance of a domain is told in place of the one that told its neighbours.
+constexpr core::duration representative_silence = milliseconds{600};
+/// First byte of a datagram: whether its receiver passes it on to the instances of its domain.
+constexpr char for_one = '1';
+constexpr char for_its_domain = 'D';
 constexpr std::size_t most_parts = 200;
 constexpr std::uint64_t largest_copy = 32U << 20U;
 
@@ -108,7 +118,11 @@
     asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
     asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
     this->entry.loop.every(least_interval, [this](core::instant now) { this->tick(now); });
-    this->entry.loop.every(reader_interval, [this](core::instant now) { this->choose_readers(now); });
+    this->ports.read_store(false);
+    this->entry.loop.once(first_choice, [this](core::instant first) {
+        this->choose_readers(first);
+        this->entry.loop.every(reader_interval, [this](core::instant now) { this->choose_readers(now); });
+    });
 }
 
 std::uint32_t peer_exchange::live_instances(core::instant now) const
@@ -136,7 +150,8 @@
     if (whole) {
         this->last_whole = now;
     }
-    this->send(encode(report), now);
+    auto bytes = for_one + encode(report);
+    this->send(bytes, now);
 }
 
 load_report peer_exchange::make_report(core::instant now, bool whole)
@@ -161,9 +176,24 @@
                 {.endpoint = state.tag, .sent = totals.first, .running = totals.second});
         }
     }
+    this->add_work(report, whole);
+    if (whole) {
+        for (const auto& [address, known] : this->members) {
+            if (known.heard + member_silence > now) {
+                report.members.push_back(core::to_string(address));
+            }
+        }
+    }
+    return report;
+}
+
+void peer_exchange::add_work(load_report& report, bool whole)
+{
     auto& work = this->entry.work;
-    if (whole || !work.parts.empty()) {
-        for (const auto& [team, totals] : work.teams) {
+    for (const auto& [team, totals] : work.teams) {
+        auto& last = this->told_teams[team];
+        if (whole || last != totals) {
+            last = totals;
             report.teams.push_back({.team = team, .asked = totals.first, .given = totals.second});
         }
     }
@@ -178,30 +208,68 @@
         this->last_parts.erase(this->last_parts.begin(), this->last_parts.end() - most_parts);
     }
     report.parts.insert(report.parts.end(), this->last_parts.begin(), this->last_parts.end());
-    if (whole) {
-        for (const auto& [address, known] : this->members) {
-            if (known.heard + member_silence > now) {
-                report.members.push_back(core::to_string(address));
-            }
+}
+
+std::map<std::string_view, const core::address*> peer_exchange::representatives(core::instant now) const
+{
+    const auto seed =
+        XXH64(this->entry.options.instance.view().data(), this->entry.options.instance.view().size(), 0);
+    std::map<std::string_view, std::pair<std::uint64_t, const core::address*>> best;
+    for (const auto& [address, known] : this->members) {
+        if (known.name.empty() || known.leaving || known.heard + representative_silence < now ||
+            known.domain == this->entry.options.domain.view()) {
+            continue;
+        }
+        const auto rank = XXH64(known.name.data(), known.name.size(), seed);
+        auto& chosen = best[known.domain];
+        if (chosen.second == nullptr || rank < chosen.first) {
+            chosen = {rank, &address};
         }
     }
-    return report;
+    std::map<std::string_view, const core::address*> result;
+    for (const auto& [domain, chosen] : best) {
+        result.emplace(domain, chosen.second);
+    }
+    return result;
 }
 
-void peer_exchange::send(const std::string& bytes, core::instant now)
+void peer_exchange::send_to(const core::address& to, const std::string& bytes)
 {
+    error_code error; // a refused datagram is made good by the next one
+    this->socket.send_to(asio::buffer(bytes), to_endpoint(to), 0, error);
+    ++this->counted.sent;
+}
+
+void peer_exchange::forward(std::string& bytes, core::instant now)
+{
+    bytes.front() = for_one;
+    for (const auto& [address, known] : this->members) {
+        if (known.domain == this->entry.options.domain.view() && known.heard + member_silence > now) {
+            this->send_to(address, bytes);
+        }
+    }
+}
+
+void peer_exchange::send(std::string& bytes, core::instant now)
+{
+    const auto chosen = this->representatives(now);
     for (auto place = this->members.begin(); place != this->members.end();) {
         const auto& known = place->second;
-        const bool silent = std::max(known.heard, known.added) + member_silence < now;
-        if (std::max(known.heard, known.added) + member_memory < now) {
+        const auto last = std::max(known.heard, known.added);
+        if (last + member_memory < now) {
             place = this->members.erase(place);
             continue;
         }
-        // A silent member may be back behind a cut: it is told with the whole reports.
-        if (!silent || this->last_whole == now) {
-            error_code error;
-            this->socket.send_to(asio::buffer(bytes), to_endpoint(place->first), 0, error);
-            ++this->counted.sent; // a refused datagram is made good by the next one
+        // A silent member may be back behind a cut: it is told with the whole reports, like one not heard
+        // yet.
+        const bool silent = known.name.empty() || last + member_silence < now;
+        const auto representative = chosen.find(known.domain);
+        const bool elsewhere = !silent && known.domain != this->entry.options.domain.view();
+        const bool represented = elsewhere && representative != chosen.end();
+        const bool represents = represented && representative->second == &place->first;
+        if (represents || (!represented && (!silent || this->last_whole == now))) {
+            bytes.front() = represents ? for_its_domain : for_one;
+            this->send_to(place->first, bytes);
         }
         ++place;
     }
@@ -221,6 +289,7 @@
                              .with("address", report.address));
     }
     known.name = report.instance;
+    known.domain = report.domain;
     known.heard = now;
     known.table_version = report.table_version;
     known.list_revision = report.list_revision;
@@ -305,12 +374,17 @@
             continue; // a peer's port was closed: an answer to something sent
         }
         ++this->counted.received;
-        const auto report = decode({this->datagram.data(), length});
+        const auto report = length == 0 ? std::nullopt : decode({this->datagram.data() + 1, length - 1});
         if (!report) {
             ++this->counted.unreadable;
             continue;
         }
-        this->take(*report, relay::event_loop::now());
+        const auto now = relay::event_loop::now();
+        this->take(*report, now);
+        if (this->datagram.front() == for_its_domain) {
+            std::string bytes{this->datagram.data(), length};
+            this->forward(bytes, now);
+        }
     }
 }
 
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -218,8 +218,9 @@
                 dispatch::note_given(this->owner.book.shares, this->team, cost);
                 this->owner.work.teams[this->team].second += cost;
             }
-            for (const auto& part : generation->parts) {
-                this->owner.work.parts.emplace_back(part.id, decision.endpoint);
+            // The last part is the request's own, or its session's.
+            for (std::size_t i = 0; i + 1 < generation->parts.size(); ++i) {
+                this->owner.work.parts.emplace_back(generation->parts[i].id, decision.endpoint);
             }
         }
         this->tried.push_back(decision.endpoint);
