--- /dev/null
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -0,0 +1,213 @@
+#include "catalog_follower.hpp"
+#include "platform_store.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+using testing::platform_store;
+
+namespace
+{
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[],"tenants":[]})";
+}
+
+std::string entry(const std::string& state = "ready")
+{
+    return R"({"service":"s1","address":"10.0.0.9:8080","zone":"north","slots":4,"state":")" + state +
+           R"("})";
+}
+
+/// @brief A follower on its own thread.
+class running_follower
+{
+public:
+    explicit running_follower(const platform_store& store)
+        : follower(this->loop,
+                   store.address(),
+                   {.table = [this](auto table) { this->version = table->version; },
+                    .endpoints =
+                        [this](const catalog::endpoint_list& list) {
+                            const std::lock_guard lock(this->mutex);
+                            this->newest = list;
+                        }})
+    {
+        this->follower.start();
+        this->thread = std::thread{[this] { this->loop.run(); }};
+    }
+
+    ~running_follower()
+    {
+        boost::asio::post(this->loop.context(), [this] { this->loop.stop(); });
+        this->thread.join();
+    }
+
+    /// @brief Waits until a condition holds.
+    static bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds limit = 5s)
+    {
+        const auto until = std::chrono::steady_clock::now() + limit;
+        while (!condition()) {
+            if (std::chrono::steady_clock::now() > until) {
+                return false;
+            }
+            std::this_thread::sleep_for(2ms);
+        }
+        return true;
+    }
+
+    catalog::endpoint_list endpoints()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->newest;
+    }
+
+    template <class task>
+    auto on_loop(task work)
+    {
+        std::promise<decltype(work(this->follower))> result;
+        boost::asio::post(this->loop.context(), [&] { result.set_value(work(this->follower)); });
+        return result.get_future().get();
+    }
+
+    std::atomic<std::uint64_t> version{0};
+
+private:
+    std::mutex mutex;
+    catalog::endpoint_list newest;
+    relay::event_loop loop;
+    adapter::catalog_follower follower;
+    std::thread thread;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(catalog_follower_test)
+
+BOOST_AUTO_TEST_CASE(it_reads_what_is_there_and_follows_changes)
+{
+    platform_store store;
+    store.put("op/config", configuration(3));
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually(
+        [&] { return follower.version == 3 && follower.endpoints().entries.size() == 1; }));
+    store.put("op/config", configuration(9));
+    store.put("servers/i-1", entry("draining"));
+    BOOST_TEST(follower.eventually([&] { return follower.version == 9; }));
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.at("servers/i-1").draining; }));
+    store.remove("servers/i-1");
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.empty(); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_never_goes_back)
+{
+    platform_store store;
+    store.put("op/config", configuration(9));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 9; }));
+    store.put("op/config", configuration(4));
+    store.put("op/config", "not a configuration");
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(follower.version == 9U);
+    store.put("op/config", configuration(10));
+    BOOST_TEST(follower.eventually([&] { return follower.version == 10; }));
+}
+
+BOOST_AUTO_TEST_CASE(entries_over_several_pages_are_all_read)
+{
+    platform_store store;
+    store.set_page(3);
+    for (int i = 0; i < 10; ++i) {
+        store.put("servers/i-" + std::to_string(i), entry());
+    }
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 10; }));
+}
+
+BOOST_AUTO_TEST_CASE(after_a_lost_history_all_is_read_anew)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
+    store.remove("servers/i-1");
+    store.put("servers/i-2", entry());
+    store.put("op/config", configuration(2));
+    store.compact();
+    BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-2"); }));
+    BOOST_TEST(follower.eventually([&] { return !follower.endpoints().entries.contains("servers/i-1"); }));
+}
+
+BOOST_AUTO_TEST_CASE(it_goes_on_after_every_kind_of_trouble)
+{
+    for (const auto kind :
+         {platform_store::trouble::silent, platform_store::trouble::busy, platform_store::trouble::reset}) {
+        platform_store store;
+        store.put("op/config", configuration(1));
+        running_follower follower{store};
+        BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+        store.set_trouble(kind);
+        BOOST_TEST(follower.eventually(
+            [&] { return follower.on_loop([](auto& each) { return each.store_troubled(); }); }));
+        store.put("op/config", configuration(2));
+        store.set_trouble(platform_store::trouble::none);
+        BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(trouble_does_not_make_for_many_calls)
+{
+    platform_store store;
+    store.set_trouble(platform_store::trouble::busy);
+    running_follower follower{store};
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST(store.calls() < 40U); // two prefixes, with rests that grow to 0.6 s
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_does_not_read_makes_no_calls)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    follower.on_loop([](auto& each) {
+        each.set_reading(false);
+        return 0;
+    });
+    std::this_thread::sleep_for(1500ms); // the watches under way end
+    const auto before = store.calls();
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(store.calls() == before);
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_gives_a_peer_the_same_catalog)
+{
+    platform_store store;
+    store.put("op/config", configuration(5));
+    store.put("servers/i-1", entry());
+    running_follower reader{store};
+    BOOST_TEST(
+        reader.eventually([&] { return reader.version == 5 && reader.endpoints().entries.size() == 1; }));
+    platform_store away;
+    away.set_trouble(platform_store::trouble::busy);
+    running_follower other{away};
+    const auto copy = reader.on_loop([](auto& each) { return each.copy(); });
+    other.on_loop([&](auto& each) {
+        each.take(copy);
+        return 0;
+    });
+    BOOST_TEST(other.version == 5U);
+    BOOST_TEST(other.endpoints().entries.size() == 1U);
+    const auto digest = [](auto& each) { return each.list_digest(); };
+    BOOST_TEST(other.on_loop(digest) == reader.on_loop(digest));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/adapter/decoding_test.cpp
@@ -0,0 +1,127 @@
+#include "decoding.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+  {"name":"r1","hostname":"a.example","path-prefix":"/x/","kind":"streaming","timeout-ms":15000,"goal-ms":800,
+   "priority":1,"traffic-split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"max-attempts":1,
+   "anonymous":false,"sticky":true,"resumable":true,"gap-aim-ms":200},
+  {"name":"r2","hostname":"a.example","path-prefix":"/y/","kind":"safe","timeout-ms":800,"goal-ms":300,
+   "priority":2,"service":"s2","max-attempts":2,"anonymous":true}],
+ "services":[{"name":"s1","health-path":"/health","max-conns":360,"engine":{"slots":64,"kv-capacity-tokens":626408,
+   "stride":5}},{"name":"s2","health-path":"/health","max-conns":96}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000,
+   "tokens-per-s":340000},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1}],"unknown":{"field":[1]}})";
+
+constexpr std::string_view endpoint =
+    R"({"service":"s1","address":"10.0.0.9:8080","zone":"north","version":"v1",
+  "slots":64,"state":"ready","cold-left-ms":0,"sequence":4,"born":1790000000123})";
+
+std::string replaced(std::string_view text, std::string_view what, std::string_view with)
+{
+    std::string result{text};
+    result.replace(result.find(what), what.size(), with);
+    return result;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(decoding_test)
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_read_into_routes_services_and_teams)
+{
+    std::string problem;
+    const auto table = adapter::read_configuration(configuration, problem);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+    BOOST_TEST(table->version == 7U);
+    const auto* stream = catalog::find_route(*table, "a.example", "/x/1");
+    BOOST_REQUIRE(stream != nullptr);
+    BOOST_TEST((stream->kind == catalog::route_kind::stream));
+    BOOST_TEST(stream->repeatable());
+    BOOST_TEST((stream->aim == 800ms && stream->timeout == 15s && stream->pause_aim == 200ms));
+    BOOST_TEST(stream->services.size() == 2U);
+    const auto* safe = catalog::find_route(*table, "a.example", "/y/1");
+    BOOST_TEST((safe->kind == catalog::route_kind::idempotent && safe->anonymous));
+    BOOST_TEST(safe->max_attempts == 2U);
+    const auto& engine = table->services.at(core::service_id{"s1"}).engine;
+    BOOST_REQUIRE(engine.has_value());
+    BOOST_TEST(engine->memory_tokens == 626408U);
+    BOOST_TEST(!table->services.at(core::service_id{"s2"}).engine.has_value());
+    BOOST_TEST(table->limits.tokens_per_second == 340000.0);
+    BOOST_TEST(catalog::find_team(*table, "k2")->id.view() == "t1");
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_kind_is_treated_as_the_strictest)
+{
+    std::string problem;
+    const auto table = adapter::read_configuration(replaced(configuration, "\"safe\"", "\"new\""), problem);
+    BOOST_REQUIRE(table.has_value());
+    BOOST_TEST(!catalog::find_route(*table, "a.example", "/y/1")->repeatable());
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_that_cannot_be_read_says_why)
+{
+    for (const auto& bad :
+         {std::string{"{"},
+          std::string{"[]"},
+          replaced(configuration, "\"version\":7", "\"version\":\"x\""),
+          replaced(configuration, "\"hostname\":\"a.example\",\"path-prefix\":\"/x/\"", "\"a\":1")}) {
+        std::string problem;
+        BOOST_TEST(!adapter::read_configuration(bad, problem).has_value());
+        BOOST_TEST(!problem.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_is_read_with_the_id_of_its_key)
+{
+    std::string problem;
+    const auto read = adapter::read_endpoint("i-1", endpoint, problem);
+    BOOST_REQUIRE_MESSAGE(read.has_value(), problem);
+    BOOST_TEST(read->id.view() == "i-1");
+    BOOST_TEST(read->address.port == 8080);
+    BOOST_TEST(read->domain.view() == "north");
+    BOOST_TEST(read->born_ms == 1790000000123);
+    BOOST_TEST(!read->draining);
+    const auto draining =
+        adapter::read_endpoint("i-1", replaced(endpoint, "\"ready\"", "\"draining\""), problem);
+    BOOST_TEST(draining->draining);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_names_no_endpoint_says_why)
+{
+    for (const auto& bad : {std::string{"null"},
+                            std::string{"\xff"},
+                            replaced(endpoint, "\"s1\"", "7"),
+                            replaced(endpoint, "\"10.0.0.9:8080\"", "\"10.0.0.9\""),
+                            replaced(endpoint, "\"ready\"", "\"resting\""),
+                            replaced(endpoint, "\"slots\":64", "\"slots\":\"64\""),
+                            replaced(endpoint, "\"slots\":64", "\"slots\":-1"),
+                            replaced(endpoint, "\"zone\":\"north\",", "")}) {
+        std::string problem;
+        BOOST_TEST(!adapter::read_endpoint("i-1", bad, problem).has_value(), bad);
+        BOOST_TEST(!problem.empty());
+    }
+    std::string problem;
+    BOOST_TEST(!adapter::read_endpoint("i-1\r\nX: y", endpoint, problem).has_value());
+    BOOST_TEST(!adapter::read_endpoint("", endpoint, problem).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(any_bytes_are_read_without_harm)
+{
+    BOOST_TEST(rc::check("reading gives a result or a reason", [] {
+        const auto bytes = *rc::gen::arbitrary<std::string>();
+        std::string problem;
+        RC_ASSERT(adapter::read_endpoint("i-1", bytes, problem).has_value() || !problem.empty());
+        RC_ASSERT(adapter::read_configuration(bytes, problem).has_value() || !problem.empty());
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/adapter/platform_store.cpp
@@ -0,0 +1,207 @@
+#include "platform_store.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+
+#include <chrono>
+
+namespace hibiscusfall::testing
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+std::string to_base64(const std::string& bytes)
+{
+    std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(text.data(),
+                      text.size(),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      bytes.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    text.pop_back();
+    return text;
+}
+
+std::string argument(const std::string& target, const std::string& name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+} // namespace
+
+platform_store::platform_store()
+{
+    const asio::ip::tcp::endpoint any{asio::ip::address_v4::loopback(), 0};
+    this->acceptor.open(any.protocol());
+    this->acceptor.bind(any);
+    this->acceptor.listen();
+    this->accept_thread = std::thread{[this] {
+        while (!this->stopping) {
+            boost::system::error_code error;
+            asio::ip::tcp::socket socket{this->io};
+            this->acceptor.accept(socket, error);
+            if (error || this->stopping) {
+                return;
+            }
+            this->threads.emplace_back([this](asio::ip::tcp::socket taken) { this->serve(std::move(taken)); },
+                                       std::move(socket));
+        }
+    }};
+}
+
+platform_store::~platform_store()
+{
+    this->stopping = true;
+    boost::system::error_code ignored;
+    asio::ip::tcp::socket waker{this->io};
+    waker.connect(this->acceptor.local_endpoint(), ignored);
+    this->accept_thread.join();
+    for (auto& thread : this->threads) {
+        thread.join();
+    }
+}
+
+core::address platform_store::address() const
+{
+    return {.host = "127.0.0.1", .port = this->acceptor.local_endpoint().port()};
+}
+
+void platform_store::put(const std::string& key, const std::string& value)
+{
+    const std::lock_guard lock(this->mutex);
+    this->items[key] = {.value = value, .revision = ++this->revision};
+    this->history.push_back({.key = key, .revision = this->revision, .deleted = false, .value = value});
+}
+
+void platform_store::remove(const std::string& key)
+{
+    const std::lock_guard lock(this->mutex);
+    this->items.erase(key);
+    this->history.push_back({.key = key, .revision = ++this->revision, .deleted = true, .value = {}});
+}
+
+void platform_store::compact()
+{
+    const std::lock_guard lock(this->mutex);
+    this->history.clear();
+    this->oldest = ++this->revision;
+}
+
+void platform_store::serve(asio::ip::tcp::socket socket)
+{
+    boost::beast::flat_buffer buffer;
+    while (!this->stopping) {
+        socket.non_blocking(false);
+        http::request<http::string_body> request;
+        boost::system::error_code error;
+        // Looks for an end of the test while it waits for a request.
+        while (socket.available(error) == 0 && !error && !this->stopping && buffer.size() == 0) {
+            std::this_thread::sleep_for(1ms);
+            char byte = 0;
+            if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+                return;
+            }
+        }
+        if (this->stopping) {
+            return;
+        }
+        http::read(socket, buffer, request, error);
+        if (error) {
+            return;
+        }
+        ++this->served;
+        const auto kind = this->in_trouble.load();
+        if (kind == trouble::reset) {
+            return;
+        }
+        while (this->in_trouble == trouble::silent && !this->stopping) {
+            std::this_thread::sleep_for(1ms);
+        }
+        unsigned status = 200;
+        std::string body;
+        if (kind == trouble::busy) {
+            status = 503;
+        } else {
+            body = this->answer(std::string{request.target()}, status);
+        }
+        http::response<http::string_body> response{static_cast<http::status>(status), 11};
+        response.body() = body;
+        response.prepare_payload();
+        http::write(socket, response, error);
+    }
+}
+
+std::string platform_store::answer(const std::string& target, unsigned& status)
+{
+    const auto prefix = argument(target, "path-prefix");
+    const auto after = argument(target, "after");
+    if (target.starts_with("/api/kv-range")) {
+        return this->range(prefix, after);
+    }
+    return this->watch(prefix, std::stoull(after), std::stoi(argument(target, "wait-ms")), status);
+}
+
+std::string platform_store::range(const std::string& prefix, const std::string& after)
+{
+    const std::lock_guard lock(this->mutex);
+    json found = json::array();
+    bool more = false;
+    for (const auto& [key, kept] : this->items) {
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        if (found.size() == this->page) {
+            more = true;
+            break;
+        }
+        found.push_back({{"key", key}, {"value", to_base64(kept.value)}, {"revision", kept.revision}});
+    }
+    return json{{"items", found}, {"has-more", more}, {"as-of", this->revision}}.dump();
+}
+
+std::string
+platform_store::watch(const std::string& prefix, std::uint64_t after, int wait_ms, unsigned& status)
+{
+    const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds{wait_ms};
+    while (true) {
+        {
+            const std::lock_guard lock(this->mutex);
+            if (after < this->oldest) {
+                status = 410;
+                return "{}";
+            }
+            json events = json::array();
+            for (const auto& each : this->history) {
+                if (each.revision <= after || !each.key.starts_with(prefix)) {
+                    continue;
+                }
+                if (each.deleted) {
+                    events.push_back({{"key", each.key}, {"revision", each.revision}, {"deleted", true}});
+                } else {
+                    events.push_back(
+                        {{"key", each.key}, {"revision", each.revision}, {"value", to_base64(each.value)}});
+                }
+            }
+            if (!events.empty() || std::chrono::steady_clock::now() >= until || this->stopping) {
+                return json{{"events", events}, {"as-of", this->revision}}.dump();
+            }
+        }
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
+} // namespace hibiscusfall::testing
--- /dev/null
+++ b/tests/settings/entry_settings_test.cpp
@@ -0,0 +1,91 @@
+#include "hibiscusfall/settings/entry_settings.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <string>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string whole = R"([instance]
+id = front-1
+failure_domain = north
+[listen]
+callers = 127.0.0.1:8080
+readiness = 127.0.0.1:8081
+inner = 127.0.0.1:7400
+[peers]
+seeds = 127.0.0.1:1,127.0.0.2:1
+[store]
+address = 127.0.0.1:8781
+[repeats]
+ratio = 0.2
+slack = 52
+window_s = 10
+[shares]
+window_s = 4
+[shutdown]
+limit_s = 8
+)";
+
+bool complains_of(const std::string& text, std::string_view key)
+{
+    const auto reading = settings::read_entry_settings(text);
+    return std::any_of(
+        reading.errors.begin(), reading.errors.end(), [&](const auto& error) { return error.key == key; });
+}
+
+std::string with(const std::string& what, const std::string& instead)
+{
+    auto text = whole;
+    text.replace(text.find(what), what.size(), instead);
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(entry_settings_test)
+
+BOOST_AUTO_TEST_CASE(a_whole_file_is_read)
+{
+    const auto reading = settings::read_entry_settings(whole);
+    BOOST_REQUIRE(reading);
+    BOOST_TEST(reading.settings.id.view() == "front-1");
+    BOOST_TEST(reading.settings.seeds.size() == 2U);
+    BOOST_TEST(reading.settings.repeat_ratio == 0.2);
+    BOOST_TEST((reading.settings.share_window == 4s));
+    BOOST_TEST(reading.settings.policy == "engine_model");
+}
+
+BOOST_AUTO_TEST_CASE(fractions_are_taken_where_they_may_stand)
+{
+    const auto reading = settings::read_entry_settings(with("limit_s = 8", "limit_s = 7.5"));
+    BOOST_REQUIRE(reading);
+    BOOST_TEST((reading.settings.stop_limit == 7500ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_missing_or_wrong_value_is_named)
+{
+    BOOST_TEST(complains_of(with("id = front-1\n", ""), "id"));
+    BOOST_TEST(complains_of(with("callers = 127.0.0.1:8080", "callers = here"), "callers"));
+    BOOST_TEST(complains_of(with("ratio = 0.2", "ratio = much"), "ratio"));
+    BOOST_TEST(complains_of(with("ratio = 0.2", "ratio = -1"), "ratio"));
+    BOOST_TEST(complains_of(with("ratio = 0.2", "ratio = nan"), "ratio"));
+    BOOST_TEST(complains_of(with("seeds = 127.0.0.1:1,", "seeds = nobody,"), "seeds"));
+    BOOST_TEST(complains_of(whole + "[placement]\npolicy = best\n", "policy"));
+    BOOST_TEST(complains_of(whole + "[other]\nkey = 1\n", "key"));
+}
+
+BOOST_AUTO_TEST_CASE(every_setting_is_described)
+{
+    for (const auto& each : settings::describe_entry_settings()) {
+        BOOST_TEST(!each.text.empty());
+        BOOST_TEST(!each.unit.empty());
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/telemetry/bounded_log_test.cpp
@@ -0,0 +1,104 @@
+#include "hibiscusfall/telemetry/bounded_log.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <string>
+
+using namespace hibiscusfall;
+
+namespace
+{
+
+/// @brief Standard output as a pipe for the time of a test.
+class captured_output
+{
+public:
+    captured_output()
+    {
+        BOOST_REQUIRE(::pipe(this->ends.data()) == 0);
+        this->before = ::dup(STDOUT_FILENO);
+        ::dup2(this->ends[1], STDOUT_FILENO);
+        ::fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
+    }
+
+    ~captured_output()
+    {
+        ::dup2(this->before, STDOUT_FILENO);
+        ::close(this->before);
+        ::close(this->ends[0]);
+        ::close(this->ends[1]);
+    }
+
+    captured_output(const captured_output&) = delete;
+    captured_output& operator=(const captured_output&) = delete;
+
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 4096> piece{};
+        for (auto got = ::read(this->ends[0], piece.data(), piece.size()); got > 0;
+             got = ::read(this->ends[0], piece.data(), piece.size())) {
+            text.append(piece.data(), static_cast<std::size_t>(got));
+        }
+        return text;
+    }
+
+private:
+    std::array<int, 2> ends{};
+    int before = -1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(bounded_log_test)
+
+BOOST_AUTO_TEST_CASE(lines_reach_standard_output_with_the_flush)
+{
+    const captured_output output;
+    telemetry::start_bounded_log("entry-1", telemetry::log_level::event, {});
+    telemetry::write(telemetry::log_event{"tested"}.with("id", 7));
+    BOOST_TEST(output.read().empty());
+    telemetry::flush_log();
+    const auto text = output.read();
+    BOOST_TEST(text.find("instance=entry-1 event=tested id=7\n") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(lines_beyond_the_rate_are_left_out_and_counted_but_errors_are_written)
+{
+    const captured_output output;
+    telemetry::start_bounded_log(
+        "entry-1", telemetry::log_level::event, {.lines_per_second = 1, .burst_lines = 10});
+    for (int i = 0; i < 50; ++i) {
+        telemetry::write(telemetry::log_event{"many"});
+    }
+    telemetry::write_error(telemetry::log_event{"important"});
+    telemetry::flush_log();
+    const auto text = output.read();
+    BOOST_TEST(text.find("event=important") != std::string::npos);
+    BOOST_TEST(text.find("event=log_lines_left_out count=40") != std::string::npos);
+    BOOST_TEST(telemetry::lines_left_out() == 40U);
+}
+
+BOOST_AUTO_TEST_CASE(an_output_that_takes_nothing_does_not_block)
+{
+    const captured_output output;
+    telemetry::start_bounded_log(
+        "entry-1",
+        telemetry::log_level::event,
+        {.lines_per_second = 1000000, .burst_lines = 1000000, .buffer_bytes = 100000});
+    const auto begun = std::chrono::steady_clock::now();
+    const std::string value(1000, 'x');
+    for (int i = 0; i < 1000; ++i) {
+        telemetry::write(telemetry::log_event{"large"}.with("value", value));
+        telemetry::flush_log();
+    }
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < std::chrono::seconds{5}));
+    BOOST_TEST(telemetry::lines_left_out() > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
