--- a/include/hibiscusfall/dispatch/team_shares.hpp
+++ b/include/hibiscusfall/dispatch/team_shares.hpp
@@ -33,8 +33,9 @@
     std::unordered_map<team_tag, team_window> teams;
     std::size_t step = 0;
     core::instant step_begun{};
-    double level = 0; ///< Tokens that each team may have in the window; zero when all may have all.
-    double given = 0; ///< Tokens that all teams were given in the window.
+    double spare_factor = 1; ///< Of the supply, up to which teams beyond their shares are served.
+    double level = 0;        ///< Tokens that each team may have in the window; zero when all may have all.
+    double given = 0;        ///< Tokens that all teams were given in the window.
 };
 
 /// @brief Moves the window on, and works out the level anew.
--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -31,6 +31,7 @@
 #include "hibiscusfall/dispatch/placement.hpp"
 #include "hibiscusfall/dispatch/prompt.hpp"
 #include "hibiscusfall/dispatch/repeat_budget.hpp"
+#include "hibiscusfall/dispatch/spare_control.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 #include "hibiscusfall/membership/leaving_endpoints.hpp"
 #include "hibiscusfall/membership/membership.hpp"
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -4,6 +4,7 @@
 #include "hibiscusfall/catalog/route_table.hpp"
 #include "hibiscusfall/dispatch/fleet_book.hpp"
 #include "hibiscusfall/dispatch/output_lengths.hpp"
+#include "hibiscusfall/dispatch/spare_control.hpp"
 #include "hibiscusfall/relay/dialect.hpp"
 #include "hibiscusfall/relay/entry_options.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
@@ -32,8 +33,7 @@
 /// @brief What one instance placed itself, for the reports to its peers.
 struct own_work {
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> teams; ///< Asked and given, totals.
-    std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>>
-        parts; ///< Shared ones, since the last report.
+    std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>> parts;     ///< Since the last report.
 };
 
 /// @brief Takes callers' requests and relays them to endpoints, on one event loop.
@@ -94,6 +94,7 @@
     dispatch::fleet_book book;
     std::map<core::service_id, dispatch::repeat_budget> budgets;
     dispatch::output_lengths lengths;
+    dispatch::spare_control spare;
     std::unique_ptr<detail::link_pool> links;
     own_work work;
     entry_counters counters;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -12,7 +12,7 @@
 
 using std::chrono::milliseconds;
 
-/// Part of the aim within which a first token has to be expected; the rest is for the model's error.
+/// Part of the aim within which a first token has to be expected; the rest is for the error of the model.
 constexpr double on_time_part = 0.85;
 /// Longest wait for the engine that a team beyond its share may cause.
 constexpr core::duration spare_wait = milliseconds{15};
@@ -20,7 +20,7 @@
 constexpr core::duration short_wait = milliseconds{80};
 /// Milliseconds of a later first token that reading one shared token again is worth: 1,000 tokens read again
 /// cost the users' pages about 0.5 of a request's credit.
-constexpr double ms_per_token_read_again = 0.2;
+constexpr double ms_per_token_read_again = 0.4;
 /// Weight of each millisecond beyond the aim.
 constexpr double late_weight = 3.0;
 constexpr double ms_per_recent_failure = 150.0;
--- a/src/dispatch/team_shares.cpp
+++ b/src/dispatch/team_shares.cpp
@@ -9,8 +9,11 @@
 namespace
 {
 
-/// A team that waits has at least half of what the best served one gets: with its share it has two thirds.
-constexpr double most_beyond_share = 1.5;
+/// Shares that a team may have when the supply allows no more. A team that waits, with its own share, has two
+/// thirds of what the best served one gets.
+constexpr double least_beyond_share = 1.5;
+/// Shares that a team may have at most: a team that waits has over half of what the best served one gets.
+constexpr double most_beyond_share = 1.9;
 
 double seconds(core::duration length)
 {
@@ -98,8 +101,8 @@
 {
     const auto found = shares.teams.find(team);
     const double had = found == shares.teams.end() ? 0.0 : found->second.given_sum;
-    return shares.given < shares.tokens_per_second * seconds(shares.window) &&
-           had < shares.level * most_beyond_share;
+    return shares.given < shares.spare_factor * shares.tokens_per_second * seconds(shares.window) &&
+           had < shares.level * std::min(most_beyond_share, least_beyond_share * shares.spare_factor);
 }
 
 } // namespace hibiscusfall::dispatch
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+/// No datagram arrives this long after it was sent; instances that live send every 100 ms.
+constexpr core::duration datagram_life = std::chrono::milliseconds{300};
 constexpr std::size_t deepest = 8; // nested arrays of a report: three
 
 void take_endpoint(dispatch::fleet_book& book,
@@ -91,8 +93,11 @@
 bool apply(dispatch::fleet_book& book, const load_report& report, core::instant now)
 {
     auto& peer = book.peers[report.instance];
-    if (report.incarnation < peer.incarnation ||
-        (report.incarnation == peer.incarnation && report.sequence <= peer.sequence)) {
+    // A lower incarnation is a late datagram of an earlier life, or a new life whose clock was set back: then
+    // the last report is older than any datagram on its way.
+    const bool late = report.incarnation < peer.incarnation && now - peer.heard < datagram_life;
+    const bool known = report.incarnation == peer.incarnation && report.sequence <= peer.sequence;
+    if (late || known) {
         return false;
     }
     if (report.incarnation != peer.incarnation) {
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -105,7 +105,11 @@
     this->loop.every(sweep_interval, [this](core::instant now) { this->sweep(now); });
     this->loop.every(milliseconds{100},
                      [this](core::instant now) { dispatch::advance(this->book.shares, now); });
-    this->loop.every(milliseconds{1000}, [this](core::instant now) { dispatch::tidy(this->book, now); });
+    this->loop.every(milliseconds{1000}, [this](core::instant now) {
+        dispatch::tidy(this->book, now);
+        dispatch::adjust(this->spare);
+        this->book.shares.spare_factor = this->spare.factor;
+    });
 }
 
 void entry::leave(std::function<void()> when_done)
--- a/src/relay/entry_metrics.cpp
+++ b/src/relay/entry_metrics.cpp
@@ -106,6 +106,10 @@
                  "Log lines beyond the bounds.",
                  {},
                  static_cast<double>(telemetry::lines_left_out()));
+    page.gauge("hibiscusfall_spare_factor",
+               "Of the stated supply, up to which teams beyond their shares are served.",
+               {},
+               this->spare.factor);
     for (const auto& add : this->more_metrics) {
         add(page);
     }
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -218,9 +218,8 @@
                 dispatch::note_given(this->owner.book.shares, this->team, cost);
                 this->owner.work.teams[this->team].second += cost;
             }
-            // The last part is the request's own, or its session's.
-            for (std::size_t i = 0; i + 1 < generation->parts.size(); ++i) {
-                this->owner.work.parts.emplace_back(generation->parts[i].id, decision.endpoint);
+            for (const auto& part : generation->parts) {
+                this->owner.work.parts.emplace_back(part.id, decision.endpoint);
             }
         }
         this->tried.push_back(decision.endpoint);
@@ -288,6 +287,7 @@
             now = event_loop::now();
             dispatch::note_ended(this->owner.book, running, end.sign, now);
             this->learn_length(end);
+            this->note_lateness();
             if (end.outcome.state != run_state::not_run) {
                 ++this->state.runs;
             }
@@ -316,6 +316,18 @@
                               this->state.events.tokens * per_event);
     }
 
+    /// Counts a stream that has begun as on time or late, for what teams beyond their shares may have.
+    void note_lateness()
+    {
+        const auto& route = *this->state.route;
+        if (!this->state.facts.generation || this->state.first_event == core::duration::zero()) {
+            return;
+        }
+        const bool paused =
+            route.pause_aim > core::duration::zero() && this->state.longest_pause > route.pause_aim;
+        dispatch::note_stream(this->owner.spare, paused || this->state.first_event > route.aim);
+    }
+
     /// Gives the caller its final answer.
     asio::awaitable<void> conclude(attempt_end& last, const dispatch::placement_decision& decision)
     {
--- a/tests/peers/load_report_test.cpp
+++ b/tests/peers/load_report_test.cpp
@@ -115,6 +115,18 @@
     BOOST_TEST(book.endpoints.front().model.others_running == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_peer_that_restarts_after_its_clock_was_set_back_is_heard)
+{
+    dispatch::endpoint_tag tag = 0;
+    auto book = book_with(tag);
+    auto before = report(9, tag, 5000, 7);
+    before.incarnation = 1000;
+    peers::apply(book, before, start);
+    BOOST_TEST(!peers::apply(book, report(1, tag, 0, 1), start + 100ms));
+    BOOST_TEST(peers::apply(book, report(2, tag, 0, 2), start + 500ms));
+    BOOST_TEST(book.endpoints.front().model.others_running == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(the_running_requests_of_a_silent_peer_are_forgotten)
 {
     dispatch::endpoint_tag tag = 0;
