Look whether the caller has left before its request goes on; look prompt parts up once

Ruled out: the relay, which took 11 ms; connections to endpoints. Change: the caller's connection is looked at once more before the request is sent. The holders of a prompt's parts are looked up once for a request, not once for each of 140 endpoints.

--- a/include/hibiscusfall/dispatch/kept_parts.hpp
+++ b/include/hibiscusfall/dispatch/kept_parts.hpp
@@ -44,10 +44,18 @@
     std::uint32_t read_again = 0; ///< Tokens of shared parts that some other endpoint holds and this one not.
 };
 
+/// @brief The parts of one prompt with their holders, so that each part is looked up once for all endpoints.
+struct resolved_part {
+    std::uint32_t tokens = 0;
+    const std::vector<part_holder>* holders = nullptr; ///< Null when no endpoint holds it.
+};
+
+/// @returns Valid until the next change of @p kept.
+[[nodiscard]] std::vector<resolved_part> resolve(const kept_parts& kept, std::span<const prompt_part> parts);
+
 /// @param read_total Tokens sent to the endpoint so far.
 /// @param memory Tokens that its memory has for kept parts.
-[[nodiscard]] kept_tokens look_up(const kept_parts& kept,
-                                  std::span<const prompt_part> parts,
+[[nodiscard]] kept_tokens look_up(std::span<const resolved_part> parts,
                                   endpoint_tag endpoint,
                                   std::uint64_t read_total,
                                   std::uint64_t memory);
--- a/src/dispatch/fleet_book.cpp
+++ b/src/dispatch/fleet_book.cpp
@@ -109,7 +109,7 @@
         return request;
     }
     const auto held =
-        look_up(book.parts, prompt.parts, endpoint, state->model.sent_total, state->memory_tokens);
+        look_up(resolve(book.parts, prompt.parts), endpoint, state->model.sent_total, state->memory_tokens);
     const auto unread = prompt.tokens_in - std::min(prompt.tokens_in, held.kept);
     note_sent(state->model, request.ticket, unread, now);
     state->own_sent_total += unread;
--- a/src/dispatch/kept_parts.cpp
+++ b/src/dispatch/kept_parts.cpp
@@ -35,8 +35,19 @@
     std::erase_if(kept.holders, [](const auto& each) { return each.second.empty(); });
 }
 
-kept_tokens look_up(const kept_parts& kept,
-                    std::span<const prompt_part> parts,
+std::vector<resolved_part> resolve(const kept_parts& kept, std::span<const prompt_part> parts)
+{
+    std::vector<resolved_part> result;
+    result.reserve(parts.size());
+    for (const auto& part : parts) {
+        const auto found = kept.holders.find(part.id);
+        result.push_back(
+            {.tokens = part.tokens, .holders = found == kept.holders.end() ? nullptr : &found->second});
+    }
+    return result;
+}
+
+kept_tokens look_up(std::span<const resolved_part> parts,
                     endpoint_tag endpoint,
                     std::uint64_t read_total,
                     std::uint64_t memory)
@@ -44,23 +55,24 @@
     kept_tokens result;
     bool unbroken = true;
     for (std::size_t i = 0; i < parts.size(); ++i) {
-        const auto found = kept.holders.find(parts[i].id);
-        if (found == kept.holders.end()) {
+        const auto& part = parts[i];
+        if (part.holders == nullptr) {
             unbroken = false;
             continue;
         }
         const bool holds =
-            std::any_of(found->second.begin(), found->second.end(), [&](const part_holder& holder) {
+            unbroken &&
+            std::any_of(part.holders->begin(), part.holders->end(), [&](const part_holder& holder) {
                 return holder.endpoint == endpoint &&
                        (memory == 0 || read_total - holder.read_total < memory);
             });
-        if (holds && unbroken) {
-            result.kept += parts[i].tokens;
+        if (holds) {
+            result.kept += part.tokens;
         } else {
             unbroken = false;
             // The last part belongs to one request or session; reading it again is rarely a repetition.
             if (i + 1 < parts.size()) {
-                result.read_again += parts[i].tokens;
+                result.read_again += part.tokens;
             }
         }
     }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -74,12 +74,14 @@
     return static_cast<double>(mixed >> 44U) / static_cast<double>(1U << 20U);
 }
 
-scored
-score_engine(const fleet_book& book, const endpoint_state& state, const candidate& request, core::instant now)
+scored score_engine(const fleet_book& book,
+                    const endpoint_state& state,
+                    const candidate& request,
+                    std::span<const resolved_part> parts,
+                    core::instant now)
 {
     const auto& generation = *request.generation;
-    const auto held =
-        look_up(book.parts, generation.parts, state.tag, state.model.sent_total, state.memory_tokens);
+    const auto held = look_up(parts, state.tag, state.model.sent_total, state.memory_tokens);
     const auto unread = generation.tokens_in - std::min(generation.tokens_in, held.kept);
     scored result{.state = &state,
                   .wait = expected_wait(state.model, now),
@@ -129,6 +131,8 @@
 {
     scored best;
     considered = 0;
+    const auto parts = request.generation == nullptr ? std::vector<resolved_part>{}
+                                                     : resolve(book.parts, request.generation->parts);
     for (const auto& state : book.endpoints) {
         if (!eligible(book, state, request, any_health, now)) {
             continue;
@@ -136,7 +140,7 @@
         ++considered;
         scored each = how == policy::least_in_flight ? score_least(state, request)
                       : state.engine && request.generation != nullptr
-                          ? score_engine(book, state, request, now)
+                          ? score_engine(book, state, request, parts, now)
                           : score_plain(book, state, request, now);
         if (each.score < best.score) {
             best = each;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -334,7 +334,8 @@
     }
     const auto chosen = *endpoint; // the book may change while this coroutine waits
     auto link = co_await get_link(state, chosen);
-    if (!link || state.caller.gone()) {
+    // On a busy instance the caller may have left before its request was read.
+    if (!link || state.caller.look_if_gone()) {
         if (link) {
             state.owner.links->give_back(link);
         }
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -185,21 +185,27 @@
     co_return !this->caller_gone;
 }
 
+bool caller_session::look_if_gone()
+{
+    char byte = 0;
+    const auto got = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+        this->note_gone();
+    }
+    return this->caller_gone;
+}
+
 void caller_session::watch_caller()
 {
     this->watch = ++this->watches;
-    this->socket.async_wait(
-        tcp::socket::wait_read, [self = this->shared_from_this(), number = this->watch](error_code error) {
-            if (error || self->watch != number) {
-                return;
-            }
-            char byte = 0;
-            const auto got = ::recv(self->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
-                self->note_gone();
-            }
-            // A further request waits until the one under way is answered.
-        });
+    this->socket.async_wait(tcp::socket::wait_read,
+                            [self = this->shared_from_this(), number = this->watch](error_code error) {
+                                if (error || self->watch != number) {
+                                    return;
+                                }
+                                (void)self->look_if_gone();
+                                // A further request waits until the one under way is answered.
+                            });
 }
 
 void caller_session::stop_watching()
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -43,6 +43,9 @@
     /// @brief Whether the caller has closed its connection.
     [[nodiscard]] bool gone() const noexcept { return this->caller_gone; }
 
+    /// @brief Looks whether the caller has closed its connection, when the loop may not have seen it yet.
+    [[nodiscard]] bool look_if_gone();
+
     /// @brief Sends bytes to the caller, in order.
     /// @returns False when the caller is gone.
     asio::awaitable<bool> write(std::string_view head, std::string_view body);
--- a/tests/relay/whole_answer_test.cpp
+++ b/tests/relay/whole_answer_test.cpp
@@ -279,6 +279,20 @@
     BOOST_TEST(closed.load());
 }
 
+BOOST_AUTO_TEST_CASE(a_request_whose_caller_left_before_it_was_read_reaches_no_endpoint)
+{
+    relay_fixture fixture{{whole}};
+    fixture.on_loop([&fixture](relay::entry&) { // the instance is busy meanwhile
+        raw_caller caller{fixture.port()};
+        caller.send(request_bytes("1"));
+        caller.close();
+        std::this_thread::sleep_for(100ms);
+    });
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(fixture.received().empty());
+    fixture.on_loop([](relay::entry& entry) { BOOST_TEST(entry.counters.callers_gone == 1U); });
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_cannot_be_reached_is_passed_over_without_a_failure)
 {
     relay_fixture fixture{{whole, whole}};
