--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -44,9 +44,8 @@
 constexpr core::duration behind_limit = milliseconds{250};
 /// Who reads the store is looked at this often.
 constexpr core::duration reader_interval = milliseconds{100};
-/// An instance that starts hears of the others before it reads the store itself: all start within 0.3 s, and
-/// tell their members every half second.
-constexpr core::duration first_choice = milliseconds{700};
+/// An instance that starts hears of the others before it reads the store itself: they answer within 100 ms.
+constexpr core::duration first_choice = milliseconds{250};
 constexpr core::duration copy_limit = milliseconds{1500};
 /// Silence after which another instance of a domain is told in place of the one that told its neighbours.
 constexpr core::duration representative_silence = milliseconds{600};
