--- a/src/dispatch/team_shares.cpp
+++ b/src/dispatch/team_shares.cpp
@@ -9,11 +9,9 @@
 namespace
 {
 
-/// Shares that a team may have when the supply allows no more. A team that waits, with its own share, has two
-/// thirds of what the best served one gets.
-constexpr double least_beyond_share = 1.5;
-/// Shares that a team may have at most: a team that waits has over half of what the best served one gets.
-constexpr double most_beyond_share = 1.9;
+/// Shares that a team may have at most. A team that waits has its own share, two thirds of what the best
+/// served one gets; half is owed, and the size of what is generated is only estimated.
+constexpr double most_beyond_share = 1.5;
 
 double seconds(core::duration length)
 {
@@ -102,7 +100,7 @@
     const auto found = shares.teams.find(team);
     const double had = found == shares.teams.end() ? 0.0 : found->second.given_sum;
     return shares.given < shares.spare_factor * shares.tokens_per_second * seconds(shares.window) &&
-           had < shares.level * std::min(most_beyond_share, least_beyond_share * shares.spare_factor);
+           had < shares.level * most_beyond_share;
 }
 
 } // namespace hibiscusfall::dispatch
--- a/tests/dispatch/team_shares_test.cpp
+++ b/tests/dispatch/team_shares_test.cpp
@@ -78,6 +78,21 @@
     BOOST_TEST(!dispatch::spare_for(shares, 2)); // nothing unused
 }
 
+BOOST_AUTO_TEST_CASE(a_larger_supply_does_not_let_a_team_run_ahead_of_one_that_waits)
+{
+    auto shares = shares_of(1000);
+    shares.spare_factor = 1.6;
+    dispatch::note_asked(shares, 1, 100000);
+    dispatch::note_asked(shares, 2, 100000);
+    dispatch::advance(shares, start + 500ms);
+    double had = 0;
+    while (dispatch::within_share(shares, 1) || dispatch::spare_for(shares, 1)) {
+        dispatch::note_given(shares, 1, 100);
+        had += 100;
+    }
+    BOOST_TEST(had * 0.6 <= shares.level); // a waiting team has its share: well over half of this
+}
+
 BOOST_AUTO_TEST_CASE(the_window_slides)
 {
     auto shares = shares_of(1000);
