Tell slowed engines by the events of their streams

Event gaps, written to the log in a trial, show engines that are slowed by 2.5 for 300 to 700 ms (21 to 54 ms for an event without reading). Ruled out: load of the engine alone (gaps while prompts are read stay under 190 ms unless it is slowed). Change: each instance learns an engine's usual time between events, and takes what goes beyond it and the prompts that can have been read meanwhile as slowness; placement expects later first tokens there and spares the streams that run there. Endpoints are found by an index in place of a search. What an instance sees late itself is no delay of an engine.

--- a/include/hibiscusfall/dispatch/engine_model.hpp
+++ b/include/hibiscusfall/dispatch/engine_model.hpp
@@ -40,11 +40,15 @@
 [[nodiscard]] double unread_tokens(const engine_model& model, core::instant now);
 
 /// @brief Until the engine would begin to read a request that is sent now.
-[[nodiscard]] core::duration expected_wait(const engine_model& model, core::instant now);
+/// @param view_delay By how much this instance sees late what engines did, which is no delay of theirs.
+[[nodiscard]] core::duration
+expected_wait(const engine_model& model, core::instant now, core::duration view_delay = {});
 
 /// @brief Until the first token of a request with @p tokens to read, sent now.
-[[nodiscard]] core::duration
-expected_first_token(const engine_model& model, std::uint32_t tokens, core::instant now);
+[[nodiscard]] core::duration expected_first_token(const engine_model& model,
+                                                  std::uint32_t tokens,
+                                                  core::instant now,
+                                                  core::duration view_delay = {});
 
 /// @brief Notes a request of this instance; @p tokens are those to read.
 void note_sent(engine_model& model, std::uint64_t ticket, std::uint32_t tokens, core::instant now);
--- a/include/hibiscusfall/dispatch/fleet_book.hpp
+++ b/include/hibiscusfall/dispatch/fleet_book.hpp
@@ -4,6 +4,7 @@
 #include "hibiscusfall/catalog/route_table.hpp"
 #include "hibiscusfall/dispatch/endpoint_health.hpp"
 #include "hibiscusfall/dispatch/engine_model.hpp"
+#include "hibiscusfall/dispatch/engine_pace.hpp"
 #include "hibiscusfall/dispatch/kept_parts.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 
@@ -24,7 +25,9 @@
     bool engine = false;             ///< Whether it is a model engine.
     std::uint32_t batch = 0;         ///< Requests that it runs at once.
     std::uint64_t memory_tokens = 0; ///< Of an engine.
+    std::uint32_t tokens_per_event = 0;
     engine_model model;
+    engine_pace pace;
     endpoint_health health;
     std::uint64_t own_sent_total = 0;  ///< Tokens that this instance sent it.
     core::instant heard{};             ///< When it last sent a byte to this instance.
@@ -52,11 +55,13 @@
 struct fleet_book {
     core::failure_domain_id own_domain;
     std::vector<endpoint_state> endpoints;
+    std::unordered_map<endpoint_tag, std::size_t> positions; ///< Of endpoints in the list.
     kept_parts parts;
     team_shares shares;
     std::map<std::string, peer_state> peers;
     std::map<core::failure_domain_id, core::instant> domain_heard; ///< Domains other than the own one.
     std::uint64_t last_ticket = 0;
+    core::duration view_delay{}; ///< By how much this instance sees late what engines did.
 };
 
 /// @brief A request that was sent to an endpoint.
@@ -64,6 +69,7 @@
     std::uint64_t ticket = 0;
     endpoint_tag endpoint = 0;
     bool started = false; ///< Whether its first token was seen.
+    event_mark last_event{};
 };
 
 /// @brief A digest that names an endpoint's life: another one after a restart under the same id.
@@ -86,6 +92,9 @@
 /// @brief Notes the first event of a request's answer.
 start_error note_started(fleet_book& book, running_request& request, core::instant now);
 
+/// @brief Notes an event of a stream's answer, the first one included.
+void note_event(fleet_book& book, running_request& request, core::instant now);
+
 /// @brief Notes a request's end.
 void note_ended(fleet_book& book, const running_request& request, endpoint_sign sign, core::instant now);
 
--- a/include/hibiscusfall/dispatch/placement.hpp
+++ b/include/hibiscusfall/dispatch/placement.hpp
@@ -25,6 +25,7 @@
     core::instant arrived{};
     core::instant deadline{};
     core::duration aim{};
+    core::duration pause_aim{}; ///< Longest pause of a stream that is on time; zero for none.
     bool repeatable = false;
     std::span<const endpoint_tag> excluded; ///< Endpoints that were tried already.
     std::uint64_t draw = 0;                 ///< A digest of the request, to break ties.
--- a/src/dispatch/engine_model.cpp
+++ b/src/dispatch/engine_model.cpp
@@ -49,21 +49,24 @@
     return unread;
 }
 
-core::duration expected_wait(const engine_model& model, core::instant now)
+core::duration expected_wait(const engine_model& model, core::instant now, core::duration view_delay)
 {
     auto wait = to_duration(unread_tokens(model, now) / speed(model));
     if (!model.awaited.empty()) {
         // A first token that is overdue says that the engine is slower than believed, by that much at least.
         const auto& oldest = model.awaited.front();
-        const auto overdue = core::elapsed(oldest.sent + oldest.expected, now);
+        const auto overdue = core::elapsed(oldest.sent + oldest.expected + view_delay, now);
         wait = std::max(wait, overdue);
     }
     return wait;
 }
 
-core::duration expected_first_token(const engine_model& model, std::uint32_t tokens, core::instant now)
+core::duration expected_first_token(const engine_model& model,
+                                    std::uint32_t tokens,
+                                    core::instant now,
+                                    core::duration view_delay)
 {
-    return expected_wait(model, now) + to_duration(tokens / speed(model)) + start_overhead;
+    return expected_wait(model, now, view_delay) + to_duration(tokens / speed(model)) + start_overhead;
 }
 
 void note_sent(engine_model& model, std::uint64_t ticket, std::uint32_t tokens, core::instant now)
--- a/src/dispatch/fleet_book.cpp
+++ b/src/dispatch/fleet_book.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace hibiscusfall::dispatch
 {
@@ -29,6 +30,7 @@
     state.engine = engine.has_value();
     state.batch = engine && engine->batch > 0 ? engine->batch : state.entry.slots;
     state.memory_tokens = engine ? engine->memory_tokens : 0;
+    state.tokens_per_event = engine ? engine->tokens_per_event : 0;
     const auto most = service->second.max_connections;
     state.max_connections =
         most == 0
@@ -36,6 +38,14 @@
             : std::max(4U, static_cast<std::uint32_t>(connection_part * most / std::max(1U, instances)));
 }
 
+void index_endpoints(fleet_book& book)
+{
+    book.positions.clear();
+    for (std::size_t i = 0; i < book.endpoints.size(); ++i) {
+        book.positions[book.endpoints[i].tag] = i;
+    }
+}
+
 void forget_running(fleet_book& book, peer_state& peer)
 {
     for (auto& [tag, totals] : peer.endpoints) {
@@ -60,9 +70,8 @@
 
 endpoint_state* find(fleet_book& book, endpoint_tag tag) noexcept
 {
-    const auto found = std::find_if(
-        book.endpoints.begin(), book.endpoints.end(), [tag](const auto& each) { return each.tag == tag; });
-    return found == book.endpoints.end() ? nullptr : &*found;
+    const auto found = book.positions.find(tag);
+    return found == book.positions.end() ? nullptr : &book.endpoints[found->second];
 }
 
 void update_endpoints(fleet_book& book,
@@ -79,6 +88,7 @@
         if (state == nullptr) {
             state = &book.endpoints.emplace_back();
             state->tag = tag;
+            book.positions[tag] = book.endpoints.size() - 1;
             for (const auto& [name, peer] : book.peers) {
                 const auto told = peer.endpoints.find(tag);
                 state->model.others_running += told == peer.endpoints.end() ? 0 : told->second.running;
@@ -95,6 +105,7 @@
         }
         return done;
     });
+    index_endpoints(book);
 }
 
 running_request note_sent(fleet_book& book, endpoint_tag endpoint, const prompt& prompt, core::instant now)
@@ -126,6 +137,22 @@
     return state == nullptr ? start_error{} : note_first_token(state->model, request.ticket, now);
 }
 
+void note_event(fleet_book& book, running_request& request, core::instant now)
+{
+    auto* state = find(book, request.endpoint);
+    if (state == nullptr) {
+        return;
+    }
+    const auto before = std::exchange(
+        request.last_event,
+        {.at = now, .unread = unread_tokens(state->model, now), .sent_total = state->model.sent_total});
+    if (before.at != core::instant{}) {
+        const double most_read =
+            before.unread + static_cast<double>(state->model.sent_total - before.sent_total);
+        note_event_gap(state->pace, core::elapsed(before.at, now), most_read, state->tokens_per_event, now);
+    }
+}
+
 void note_ended(fleet_book& book, const running_request& request, endpoint_sign sign, core::instant now)
 {
     auto* state = find(book, request.endpoint);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -24,6 +24,10 @@
 /// Weight of each millisecond beyond the aim.
 constexpr double late_weight = 3.0;
 constexpr double ms_per_recent_failure = 150.0;
+/// Added to the score for each running stream that a prompt would bring a pause beyond the aim, in ms.
+constexpr double ms_per_paused_stream = 60.0;
+/// Part of it when the streams are paused already by prompts that were sent before.
+constexpr double already_paused_part = 0.25;
 /// Streams that run slow each other down: added to the score when the batch is full, in ms.
 constexpr double full_batch_ms = 60.0;
 /// Mean time of a plain call, in ms, by which its queue is weighed.
@@ -74,6 +78,25 @@
     return static_cast<double>(mixed >> 44U) / static_cast<double>(1U << 20U);
 }
 
+/// What a prompt costs the streams that run at a slowed engine, where reading it pauses them beyond the aim.
+double pause_cost(const endpoint_state& state, const candidate& request, double tokens, core::instant now)
+{
+    const double factor = current_slowness(state.pace, now);
+    if (factor <= 1 || request.pause_aim <= core::duration::zero()) {
+        return 0;
+    }
+    const double limit = to_ms(request.pause_aim);
+    const double unread = unread_tokens(state.model, now);
+    const auto pause = [&](double read) {
+        return factor * usual_event_ms(state.pace, read, state.tokens_per_event);
+    };
+    if (pause(unread + tokens) <= limit) {
+        return 0;
+    }
+    const double part = pause(unread) > limit ? already_paused_part : 1.0;
+    return part * ms_per_paused_stream * running(state);
+}
+
 scored score_engine(const fleet_book& book,
                     const endpoint_state& state,
                     const candidate& request,
@@ -84,14 +107,16 @@
     const auto held = look_up(parts, state.tag, state.model.sent_total, state.memory_tokens);
     const auto unread = generation.tokens_in - std::min(generation.tokens_in, held.kept);
     scored result{.state = &state,
-                  .wait = expected_wait(state.model, now),
-                  .first_token = expected_first_token(state.model, unread, now),
+                  .wait = slowed(state.pace, expected_wait(state.model, now, book.view_delay), now),
+                  .first_token = slowed(
+                      state.pace, expected_first_token(state.model, unread, now, book.view_delay), now),
                   .read_again = held.read_again};
     const double first_ms = to_ms(result.first_token);
     const double late_ms = std::max(0.0, first_ms - on_time_part * to_ms(request.aim));
     const double fill = state.batch == 0 ? 0.0 : static_cast<double>(running(state)) / state.batch;
     result.score = first_ms + late_weight * late_ms + ms_per_token_read_again * held.read_again +
-                   full_batch_ms * fill * fill + ms_per_recent_failure * recent_failures(state.health, now) +
+                   full_batch_ms * fill * fill + pause_cost(state, request, unread, now) +
+                   ms_per_recent_failure * recent_failures(state.health, now) +
                    (state.entry.domain == book.own_domain ? 0.0 : other_domain_ms) +
                    tie_break(state, request.draw);
     if (state.batch > 0 && running(state) >= state.batch) {
--- a/tests/dispatch/engine_model_test.cpp
+++ b/tests/dispatch/engine_model_test.cpp
@@ -60,6 +60,14 @@
     BOOST_TEST((dispatch::expected_wait(model, start + 2s) >= 1900ms));
 }
 
+BOOST_AUTO_TEST_CASE(a_delay_of_this_instance_is_none_of_the_engine)
+{
+    engine_model model;
+    dispatch::note_sent(model, 1, 460, start);
+    const auto overdue = dispatch::expected_wait(model, start + 500ms);
+    BOOST_TEST((dispatch::expected_wait(model, start + 500ms, 300ms) <= overdue - 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_slow_engine_is_learned_and_forgiven)
 {
     engine_model model;
