Pass reports on through a hub in each failure domain

Ruled out: longer intervals, as what others place would be known too late. Change: the instance with the largest part of a core is its domain's hub, by a choice that all make alike; each sends its report once to each hub, which passes them on in batches. An own hub that is silent for 400 ms is replaced. Reports tell slowed engines. The copies of the catalog have a file of their own. Conclusion: the datagrams of an instance no longer grow with the fleet, those of a hub do.

--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -19,7 +19,9 @@
     dispatch::endpoint_tag endpoint = 0;
     std::uint64_t sent = 0;    ///< Tokens to read that it sent since its start.
     std::uint32_t running = 0; ///< Requests that run now.
-    MSGPACK_DEFINE(endpoint, sent, running)
+    /// By what factor the endpoint is slower than usual, in hundredths; zero when the sender sees no stream.
+    std::uint32_t slowness_percent = 0;
+    MSGPACK_DEFINE(endpoint, sent, running, slowness_percent)
 };
 
 /// @brief Running totals of the sender for one team, in share tokens.
@@ -56,6 +58,7 @@
     std::vector<team_totals> teams{};
     std::vector<part_sent> parts{};
     std::vector<std::string> members{}; ///< Addresses of instances that the sender hears.
+    double capacity = 1;                ///< Part of a core that the sender has.
     MSGPACK_DEFINE(format,
                    instance,
                    incarnation,
@@ -71,21 +74,27 @@
                    endpoints,
                    teams,
                    parts,
-                   members)
+                   members,
+                   capacity)
 };
 
 inline constexpr std::uint32_t report_format = 1;
 
 /// @brief Unpacks bytes from another process. An entry takes a byte at least, so no length beyond that of the
 /// bytes is believed.
+/// @param offset Where to begin; moved behind what was unpacked.
 /// @throws msgpack::unpack_error
-[[nodiscard]] msgpack::object_handle unpack_bounded(std::span<const char> bytes);
+[[nodiscard]] msgpack::object_handle unpack_bounded(std::span<const char> bytes, std::size_t& offset);
 
 /// @brief Writes a report as one datagram.
 [[nodiscard]] std::string encode(const load_report& report);
 
-/// @brief Reads a datagram; nothing when it is no report of a known format.
-[[nodiscard]] std::optional<load_report> decode(std::span<const char> datagram);
+/// @brief Reads the reports of a datagram, one after another; ends at the first that cannot be read.
+/// @param unreadable Set when bytes are left that are no report of a known format.
+[[nodiscard]] std::vector<load_report> decode_all(std::span<const char> datagram, bool& unreadable);
+
+/// @brief Reads one report; nothing when it is none of a known format.
+[[nodiscard]] std::optional<load_report> decode(std::span<const char> bytes);
 
 /// @brief Takes a peer's report over: differences of its totals since its last one.
 /// @returns False when it is older than what is known of that peer.
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -22,6 +22,7 @@
 struct exchange_options {
     core::address inner;              ///< Where this instance takes datagrams and connections.
     std::vector<core::address> seeds; ///< Told first; they tell the others.
+    double capacity = 1;              ///< Part of a core that this instance has.
 };
 
 /// @brief How the exchange reads and takes over what the store says; set by its owner.
@@ -79,16 +80,24 @@
         core::duration store_age{}; ///< When it was heard.
         bool store_troubled = false;
         bool leaving = false;
+        double capacity = 1;
+        core::instant passed_on{};    ///< When a datagram came from its own socket.
+        core::instant hub_since{};    ///< When this instance began to use it as the hub of the own domain.
+        core::instant silent_until{}; ///< It passed nothing on as a hub; another one is used until then.
     };
+    using domain_hubs = std::map<std::string_view, const core::address*>;
     using udp = relay::asio::ip::udp;
 
     void tick(core::instant now);
     load_report make_report(core::instant now, bool whole);
+    void add_totals(load_report& report, bool whole, core::instant now);
     void add_work(load_report& report, bool whole);
     void send(std::string& datagram, core::instant now);
     void send_to(const core::address& to, const std::string& datagram);
-    void forward(std::string& datagram, core::instant now);
-    [[nodiscard]] std::map<std::string_view, const core::address*> representatives(core::instant now) const;
+    void pass_on(std::string_view reports);
+    void flush_batch();
+    [[nodiscard]] domain_hubs choose_hubs(core::instant now) const;
+    void watch_own_hub(const core::address* hub, core::instant now);
     void take(const load_report& report, core::instant now);
     void choose_readers(core::instant now);
     void ask_for_copy(core::instant now);
@@ -106,9 +115,18 @@
     std::uint64_t sequence = 0;
     core::instant last_sent{};
     core::instant last_whole{};
-    std::unordered_map<dispatch::endpoint_tag, std::pair<std::uint64_t, std::uint32_t>> told;
+    struct told_totals {
+        std::uint64_t sent = 0;
+        std::uint32_t running = 0;
+        std::uint32_t slowness_percent = 0;
+        core::instant at{};
+    };
+    std::unordered_map<dispatch::endpoint_tag, told_totals> told;
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> told_teams;
     std::vector<part_sent> last_parts;
+    std::string batch; ///< Reports that this instance passes on to its domain, as their hub.
+    core::instant batch_begun{};
+    core::address own_hub{}; ///< Not set while this instance is the hub, or its domain needs none.
     std::array<char, 65536> datagram{};
     bool fetching = false;
     core::instant behind_since = core::instant::max();
--- a/include/hibiscusfall/peers/store_readers.hpp
+++ b/include/hibiscusfall/peers/store_readers.hpp
@@ -24,6 +24,10 @@
 /// @brief Silence after which another instance takes over the reading. Instances send every 100 ms.
 inline constexpr core::duration reader_silence = std::chrono::milliseconds{600};
 
+/// @brief Time from an instance's start to its first choice: others that live answer within 100 ms. When all
+/// start at once nobody has a configuration, and callers are refused until the first reader has it.
+inline constexpr core::duration first_choice = std::chrono::milliseconds{250};
+
 /// @brief Whether an instance should read the store itself.
 /// @param others The instances that it knows.
 /// @remarks Answers a store that prices each call: its calls do not grow with the fleet. Views differ while
--- a/include/hibiscusfall/settings/entry_settings.hpp
+++ b/include/hibiscusfall/settings/entry_settings.hpp
@@ -26,6 +26,7 @@
     core::address metrics; ///< None when not set.
 
     /// @name [peers]
+    double capacity = 1; ///< Part of a core.
     std::vector<core::address> seeds;
 
     /// @name [store]
--- /dev/null
+++ b/src/peers/catalog_copies.cpp
@@ -0,0 +1,146 @@
+#include "hibiscusfall/peers/peer_exchange.hpp"
+
+#include "exchange_limits.hpp"
+
+#include "hibiscusfall/telemetry/log_event.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstring>
+
+namespace hibiscusfall::peers
+{
+
+namespace
+{
+
+namespace asio = relay::asio;
+using asio::ip::tcp;
+using error_code = boost::system::error_code;
+using std::chrono::milliseconds;
+
+/// Time in which an instance hears of a new version from the store itself.
+constexpr core::duration behind_limit = milliseconds{250};
+constexpr core::duration copy_limit = milliseconds{1500};
+constexpr std::uint64_t largest_copy = 32U << 20U;
+
+asio::awaitable<void> send_copy(tcp::socket to, std::string bytes)
+{
+    std::uint64_t size = bytes.size();
+    std::array<char, sizeof size> head{};
+    std::memcpy(head.data(), &size, sizeof size);
+    error_code error;
+    const std::array<asio::const_buffer, 2> pieces{asio::buffer(head), asio::buffer(bytes)};
+    co_await asio::async_write(to, pieces, asio::redirect_error(asio::use_awaitable, error));
+}
+
+} // namespace
+
+void peer_exchange::ask_for_copy(core::instant now)
+{
+    if (this->fetching) {
+        return;
+    }
+    const auto version = this->ports.table_version();
+    const auto revision = this->ports.list_revision();
+    const auto digest = this->ports.list_digest();
+    const bool reads_well = this->reading && !this->ports.store_troubled();
+    const core::address* best = nullptr;
+    std::uint64_t newest = 0;
+    for (const auto& [address, known] : this->members) {
+        const bool newer_list = known.list_revision > revision && known.list_digest != digest;
+        const bool ahead = known.table_version > version || (newer_list && !reads_well);
+        if (ahead && known.heard + member_silence > now && known.list_revision >= newest) {
+            newest = known.list_revision;
+            best = &address;
+        }
+    }
+    if (best == nullptr) {
+        this->behind_since = core::instant::max();
+        return;
+    }
+    this->behind_since = std::min(this->behind_since, now);
+    if (now - this->behind_since < (reads_well ? behind_limit : core::duration::zero())) {
+        return;
+    }
+    this->behind_since = core::instant::max();
+    this->fetching = true;
+    asio::co_spawn(this->entry.loop.context(), this->fetch_copy(*best), asio::detached);
+}
+
+asio::awaitable<void> peer_exchange::serve_copies()
+{
+    while (true) {
+        error_code error;
+        tcp::socket asked{this->entry.loop.context()};
+        co_await this->acceptor.async_accept(asked, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            co_await this->entry.loop.sleep(least_interval);
+            continue;
+        }
+        msgpack::sbuffer buffer;
+        msgpack::pack(buffer, this->ports.copy());
+        asio::co_spawn(this->entry.loop.context(),
+                       send_copy(std::move(asked), std::string{buffer.data(), buffer.size()}),
+                       asio::detached);
+    }
+}
+
+asio::awaitable<void> peer_exchange::fetch_copy(core::address from)
+{
+    auto connection = std::make_shared<tcp::socket>(this->entry.loop.context());
+    this->entry.loop.once(copy_limit, [connection](core::instant) {
+        error_code ignored;
+        connection->close(ignored);
+    });
+    error_code error;
+    std::uint64_t size = 0;
+    std::array<char, sizeof size> head{};
+    const tcp::endpoint where{asio::ip::make_address_v4(from.host), from.port};
+    co_await connection->async_connect(where, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        co_await asio::async_read(
+            *connection, asio::buffer(head), asio::redirect_error(asio::use_awaitable, error));
+        std::memcpy(&size, head.data(), sizeof size);
+    }
+    std::string bytes;
+    if (!error && size <= largest_copy) {
+        bytes.resize(size);
+        co_await asio::async_read(
+            *connection, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+    }
+    this->fetching = false;
+    telemetry::log_event line{"catalog_from_peer"};
+    line.with("peer", core::to_string(from)).with("bytes", size);
+    if (error || bytes.empty()) {
+        telemetry::write(line.with("outcome", "failed").with("reason", error.message()));
+        co_return;
+    }
+    try {
+        std::size_t offset = 0;
+        const auto handle = unpack_bounded(bytes, offset);
+        const auto copy = handle.get().as<catalog_copy>();
+        ++this->counted.copies_taken;
+        telemetry::write(line.with("outcome", "taken")
+                             .with("version", copy.table_version)
+                             .with("revision", copy.list_revision));
+        this->ports.take(copy);
+    } catch (const msgpack::unpack_error& problem) {
+        telemetry::write_error(line.with("outcome", "unreadable").with("reason", problem.what()));
+    } catch (const msgpack::type_error& problem) {
+        telemetry::write_error(line.with("outcome", "unreadable").with("reason", problem.what()));
+    }
+}
+
+} // namespace hibiscusfall::peers
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -27,6 +27,9 @@
         }
         auto& running = state->model.others_running;
         running = running - std::min(running, known.running) + told.running;
+        if (told.slowness_percent > 0) {
+            dispatch::note_slowness_elsewhere(state->pace, told.slowness_percent / 100.0, now);
+        }
     }
     known = {.sent = std::max(known.sent, told.sent), .running = told.running};
 }
@@ -60,11 +63,11 @@
 
 } // namespace
 
-msgpack::object_handle unpack_bounded(std::span<const char> bytes)
+msgpack::object_handle unpack_bounded(std::span<const char> bytes, std::size_t& offset)
 {
     const auto most = bytes.size();
     const msgpack::unpack_limit limit{most, most, most, most, most, deepest};
-    return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit);
+    return msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
 }
 
 std::string encode(const load_report& report)
@@ -74,20 +77,37 @@
     return {buffer.data(), buffer.size()};
 }
 
-std::optional<load_report> decode(std::span<const char> datagram)
+std::vector<load_report> decode_all(std::span<const char> datagram, bool& unreadable)
 {
+    std::vector<load_report> reports;
+    std::size_t offset = 0;
+    unreadable = false;
     try {
-        const auto handle = unpack_bounded(datagram);
-        auto report = handle.get().as<load_report>();
-        if (report.format != report_format || report.instance.empty()) {
-            return std::nullopt;
+        while (offset < datagram.size()) {
+            const auto handle = unpack_bounded(datagram, offset);
+            auto report = handle.get().as<load_report>();
+            if (report.format != report_format || report.instance.empty()) {
+                unreadable = true;
+                break;
+            }
+            reports.push_back(std::move(report));
         }
-        return report;
     } catch (const msgpack::unpack_error&) {
-        return std::nullopt;
+        unreadable = true;
     } catch (const msgpack::type_error&) {
+        unreadable = true;
+    }
+    return reports;
+}
+
+std::optional<load_report> decode(std::span<const char> bytes)
+{
+    bool unreadable = false;
+    auto reports = decode_all(bytes, unreadable);
+    if (unreadable || reports.size() != 1) {
         return std::nullopt;
     }
+    return std::move(reports.front());
 }
 
 bool apply(dispatch::fleet_book& book, const load_report& report, core::instant now)
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -1,5 +1,8 @@
 #include "hibiscusfall/peers/peer_exchange.hpp"
 
+#include "exchange_limits.hpp"
+
+#include "hibiscusfall/peers/domain_hubs.hpp"
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
@@ -7,15 +10,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 
 namespace hibiscusfall::peers
 {
@@ -24,36 +23,33 @@
 {
 
 namespace asio = relay::asio;
-using asio::ip::tcp;
 using asio::ip::udp;
 using error_code = boost::system::error_code;
 using std::chrono::milliseconds;
 
-/// Changes are told this soon; a placement at another instance within it is not known here.
-constexpr core::duration least_interval = milliseconds{8};
 /// Added to the interval for each member, so that the fleet's datagrams grow with its size and not its
 /// square.
 constexpr core::duration interval_for_member = milliseconds{1};
 /// An instance that has nothing to tell says at least this often that it lives.
 constexpr core::duration idle_interval = milliseconds{100};
 constexpr core::duration whole_interval = milliseconds{500};
-/// A member that was not heard for this long is told of less often, and later forgotten.
-constexpr core::duration member_silence = std::chrono::seconds{3};
+/// A member that was not heard for this long is forgotten.
 constexpr core::duration member_memory = std::chrono::seconds{60};
-/// Time in which an instance hears of a new version from the store itself.
-constexpr core::duration behind_limit = milliseconds{250};
 /// Who reads the store is looked at this often.
 constexpr core::duration reader_interval = milliseconds{100};
-/// An instance that starts hears of the others before it reads the store itself: they answer within 100 ms.
-constexpr core::duration first_choice = milliseconds{250};
-constexpr core::duration copy_limit = milliseconds{1500};
-/// Silence after which another instance of a domain is told in place of the one that told its neighbours.
-constexpr core::duration representative_silence = milliseconds{600};
+/// An own hub that passed nothing on for this long is replaced, and tried again after a while.
+constexpr core::duration own_hub_silence = milliseconds{400};
+constexpr core::duration own_hub_rest = std::chrono::seconds{3};
+/// Instances of a domain up to which each tells its neighbours itself: fewer datagrams than through a hub.
+constexpr std::size_t most_direct = 4;
+/// A hub passes a batch on before it grows beyond this, as a lost datagram loses all of it.
+constexpr std::size_t most_batch_bytes = 8000;
+/// A slowed engine is told again after this, as others forget it after 400 ms.
+constexpr core::duration slowness_interval = milliseconds{150};
 /// First byte of a datagram: whether its receiver passes it on to the instances of its domain.
 constexpr char for_one = '1';
 constexpr char for_its_domain = 'D';
 constexpr std::size_t most_parts = 200;
-constexpr std::uint64_t largest_copy = 32U << 20U;
 
 /// Stands for an age that is not known.
 constexpr std::uint32_t unknown_age_ms = 3600000;
@@ -74,16 +70,6 @@
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, unknown_age_ms));
 }
 
-asio::awaitable<void> send_copy(tcp::socket to, std::string bytes)
-{
-    std::uint64_t size = bytes.size();
-    std::array<char, sizeof size> head{};
-    std::memcpy(head.data(), &size, sizeof size);
-    error_code error;
-    const std::array<asio::const_buffer, 2> pieces{asio::buffer(head), asio::buffer(bytes)};
-    co_await asio::async_write(to, pieces, asio::redirect_error(asio::use_awaitable, error));
-}
-
 } // namespace
 
 peer_exchange::peer_exchange(relay::entry& owner, exchange_options settings, exchange_ports connections)
@@ -110,13 +96,18 @@
     const auto at = to_endpoint(this->options.inner);
     this->socket.open(udp::v4());
     this->socket.bind(at);
-    this->acceptor.open(tcp::v4());
-    this->acceptor.set_option(tcp::acceptor::reuse_address{true});
+    this->acceptor.open(asio::ip::tcp::v4());
+    this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true});
     this->acceptor.bind({at.address(), at.port()});
     this->acceptor.listen();
     asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
     asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
-    this->entry.loop.every(least_interval, [this](core::instant now) { this->tick(now); });
+    this->entry.loop.every(least_interval, [this](core::instant now) {
+        if (!this->batch.empty() && now - this->batch_begun >= interval(this->members.size()) / 2) {
+            this->flush_batch();
+        }
+        this->tick(now);
+    });
     this->ports.read_store(false);
     this->entry.loop.once(first_choice, [this](core::instant first) {
         this->choose_readers(first);
@@ -165,16 +156,9 @@
                        .list_digest = this->ports.list_digest(),
                        .store_age_ms = to_milliseconds(this->ports.store_age(now)),
                        .store_troubled = this->ports.store_troubled(),
-                       .leaving = this->entry.leaving};
-    for (const auto& state : this->entry.book.endpoints) {
-        const std::pair totals{state.own_sent_total, state.model.own_running};
-        auto& last = this->told[state.tag];
-        if (whole || last != totals) {
-            last = totals;
-            report.endpoints.push_back(
-                {.endpoint = state.tag, .sent = totals.first, .running = totals.second});
-        }
-    }
+                       .leaving = this->entry.leaving,
+                       .capacity = this->options.capacity};
+    this->add_totals(report, whole, now);
     this->add_work(report, whole);
     if (whole) {
         for (const auto& [address, known] : this->members) {
@@ -186,6 +170,29 @@
     return report;
 }
 
+void peer_exchange::add_totals(load_report& report, bool whole, core::instant now)
+{
+    for (const auto& state : this->entry.book.endpoints) {
+        const double slowness = dispatch::own_slowness(state.pace, now);
+        const auto percent = static_cast<std::uint32_t>(100.0 * slowness);
+        auto& last = this->told[state.tag];
+        const bool slowed = dispatch::is_slowed(slowness);
+        const bool pace_news =
+            (percent > 0 && slowed != dispatch::is_slowed(last.slowness_percent / 100.0)) ||
+            (slowed && now - last.at >= slowness_interval);
+        if (!whole && !pace_news && last.sent == state.own_sent_total &&
+            last.running == state.model.own_running) {
+            continue;
+        }
+        last = {.sent = state.own_sent_total,
+                .running = state.model.own_running,
+                .slowness_percent = percent > 0 ? percent : last.slowness_percent,
+                .at = now};
+        report.endpoints.push_back(
+            {.endpoint = state.tag, .sent = last.sent, .running = last.running, .slowness_percent = percent});
+    }
+}
+
 void peer_exchange::add_work(load_report& report, bool whole)
 {
     auto& work = this->entry.work;
@@ -209,27 +216,66 @@
     report.parts.insert(report.parts.end(), this->last_parts.begin(), this->last_parts.end());
 }
 
-std::map<std::string_view, const core::address*> peer_exchange::representatives(core::instant now) const
+peer_exchange::domain_hubs peer_exchange::choose_hubs(core::instant now) const
 {
-    const auto seed =
-        XXH64(this->entry.options.instance.view().data(), this->entry.options.instance.view().size(), 0);
-    std::map<std::string_view, std::pair<std::uint64_t, const core::address*>> best;
-    for (const auto& [address, known] : this->members) {
-        if (known.name.empty() || known.leaving || known.heard + representative_silence < now ||
-            known.domain == this->entry.options.domain.view()) {
+    struct known_domain {
+        std::vector<hub_candidate> instances;
+        std::vector<const core::address*> addresses;
+    };
+    std::map<std::string_view, known_domain> domains;
+    const auto own_domain = this->entry.options.domain.view();
+    auto& own = domains[own_domain];
+    own.instances.push_back({.name = this->entry.options.instance.view(),
+                             .capacity = this->options.capacity,
+                             .heard = now,
+                             .leaving = this->entry.leaving});
+    own.addresses.push_back(&this->options.inner);
+    for (const auto& [address, each] : this->members) {
+        if (each.name.empty() || each.heard + member_silence < now) {
             continue;
         }
-        const auto rank = XXH64(known.name.data(), known.name.size(), seed);
-        auto& chosen = best[known.domain];
-        if (chosen.second == nullptr || rank < chosen.first) {
-            chosen = {rank, &address};
+        auto& domain = domains[each.domain];
+        // Neighbours are heard through the own hub; whether that one works is watched by itself.
+        domain.instances.push_back({.name = each.name,
+                                    .capacity = each.capacity,
+                                    .heard = each.domain == own_domain ? now : each.heard,
+                                    .leaving = each.leaving,
+                                    .silent_hub = each.silent_until > now});
+        domain.addresses.push_back(&address);
+    }
+    domain_hubs hubs;
+    for (const auto& [name, domain] : domains) {
+        if (name == own_domain && domain.instances.size() <= most_direct) {
+            continue;
+        }
+        const auto chosen = choose_hub(domain.instances);
+        if (chosen.has_value()) {
+            hubs.emplace(name, domain.addresses[*chosen]);
         }
     }
-    std::map<std::string_view, const core::address*> result;
-    for (const auto& [domain, chosen] : best) {
-        result.emplace(domain, chosen.second);
+    return hubs;
+}
+
+void peer_exchange::watch_own_hub(const core::address* hub, core::instant now)
+{
+    const bool is_self = hub == nullptr || *hub == this->options.inner;
+    const core::address chosen = is_self ? core::address{} : *hub;
+    if (chosen != this->own_hub) {
+        this->own_hub = chosen;
+        telemetry::write(telemetry::log_event{"hub"}
+                             .with("domain", this->entry.options.domain.view())
+                             .with("hub", is_self ? "none or itself" : core::to_string(chosen)));
+        if (!is_self) {
+            this->members[chosen].hub_since = now;
+        }
+    }
+    if (is_self) {
+        return;
+    }
+    auto& used = this->members[chosen];
+    if (now - std::max(used.hub_since, used.passed_on) > own_hub_silence) {
+        used.silent_until = now + own_hub_rest;
     }
-    return result;
 }
 
 void peer_exchange::send_to(const core::address& to, const std::string& bytes)
@@ -239,21 +285,40 @@
     ++this->counted.sent;
 }
 
-void peer_exchange::forward(std::string& bytes, core::instant now)
+void peer_exchange::pass_on(std::string_view reports)
 {
-    bytes.front() = for_one;
+    if (this->batch.size() + reports.size() > most_batch_bytes) {
+        this->flush_batch();
+    }
+    if (this->batch.empty()) {
+        this->batch_begun = relay::event_loop::now();
+        this->batch += for_one;
+    }
+    this->batch += reports;
+}
+
+void peer_exchange::flush_batch()
+{
+    const auto now = relay::event_loop::now();
     for (const auto& [address, known] : this->members) {
         if (known.domain == this->entry.options.domain.view() && known.heard + member_silence > now) {
-            this->send_to(address, bytes);
+            this->send_to(address, this->batch);
         }
     }
+    this->batch.clear();
 }
 
 void peer_exchange::send(std::string& bytes, core::instant now)
 {
-    const auto chosen = this->representatives(now);
+    const auto hubs = this->choose_hubs(now);
+    const auto own_domain = this->entry.options.domain.view();
+    const auto own = hubs.find(own_domain);
+    this->watch_own_hub(own == hubs.end() ? nullptr : own->second, now);
+    if (own != hubs.end() && *own->second == this->options.inner) {
+        this->pass_on(std::string_view{bytes}.substr(1));
+    }
     for (auto place = this->members.begin(); place != this->members.end();) {
-        const auto& known = place->second;
+        const auto& [address, known] = *place;
         const auto last = std::max(known.heard, known.added);
         if (last + member_memory < now) {
             place = this->members.erase(place);
@@ -262,13 +327,12 @@
         // A silent member may be back behind a cut: it is told with the whole reports, like one not heard
         // yet.
         const bool silent = known.name.empty() || last + member_silence < now;
-        const auto representative = chosen.find(known.domain);
-        const bool elsewhere = !silent && known.domain != this->entry.options.domain.view();
-        const bool represented = elsewhere && representative != chosen.end();
-        const bool represents = represented && representative->second == &place->first;
-        if (represents || (!represented && (!silent || this->last_whole == now))) {
-            bytes.front() = represents ? for_its_domain : for_one;
-            this->send_to(place->first, bytes);
+        const auto hub = hubs.find(known.domain);
+        const bool has_hub = !silent && hub != hubs.end();
+        const bool is_hub = has_hub && *hub->second == address;
+        if (is_hub || (!has_hub && (!silent || this->last_whole == now))) {
+            bytes.front() = is_hub ? for_its_domain : for_one;
+            this->send_to(address, bytes);
         }
         ++place;
     }
@@ -296,6 +360,7 @@
     known.store_age = milliseconds{report.store_age_ms};
     known.store_troubled = report.store_troubled;
     known.leaving = report.leaving;
+    known.capacity = report.capacity;
     if (report.table_version == this->ports.table_version() &&
         report.list_digest == this->ports.list_digest()) {
         this->ports.confirm(report.list_revision, known.store_age);
@@ -327,38 +392,6 @@
     this->ports.read_store(chosen);
 }
 
-void peer_exchange::ask_for_copy(core::instant now)
-{
-    if (this->fetching) {
-        return;
-    }
-    const auto version = this->ports.table_version();
-    const auto revision = this->ports.list_revision();
-    const auto digest = this->ports.list_digest();
-    const bool reads_well = this->reading && !this->ports.store_troubled();
-    const core::address* best = nullptr;
-    std::uint64_t newest = 0;
-    for (const auto& [address, known] : this->members) {
-        const bool newer_list = known.list_revision > revision && known.list_digest != digest;
-        const bool ahead = known.table_version > version || (newer_list && !reads_well);
-        if (ahead && known.heard + member_silence > now && known.list_revision >= newest) {
-            newest = known.list_revision;
-            best = &address;
-        }
-    }
-    if (best == nullptr) {
-        this->behind_since = core::instant::max();
-        return;
-    }
-    this->behind_since = std::min(this->behind_since, now);
-    if (now - this->behind_since < (reads_well ? behind_limit : core::duration::zero())) {
-        return;
-    }
-    this->behind_since = core::instant::max();
-    this->fetching = true;
-    asio::co_spawn(this->entry.loop.context(), this->fetch_copy(*best), asio::detached);
-}
-
 asio::awaitable<void> peer_exchange::receive()
 {
     while (true) {
@@ -373,83 +406,25 @@
             continue; // a peer's port was closed: an answer to something sent
         }
         ++this->counted.received;
-        const auto report = length == 0 ? std::nullopt : decode({this->datagram.data() + 1, length - 1});
-        if (!report) {
+        if (length == 0) {
             ++this->counted.unreadable;
             continue;
         }
+        bool unreadable = false;
+        const std::string_view reports{this->datagram.data() + 1, length - 1};
+        const auto read = decode_all(reports, unreadable);
+        this->counted.unreadable += unreadable ? 1 : 0;
         const auto now = relay::event_loop::now();
-        this->take(*report, now);
-        if (this->datagram.front() == for_its_domain) {
-            std::string bytes{this->datagram.data(), length};
-            this->forward(bytes, now);
+        for (const auto& report : read) {
+            this->take(report, now);
         }
-    }
-}
-
-asio::awaitable<void> peer_exchange::serve_copies()
-{
-    while (true) {
-        error_code error;
-        tcp::socket asked{this->entry.loop.context()};
-        co_await this->acceptor.async_accept(asked, asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted) {
-            co_return;
+        const auto sender = this->members.find({.host = from.address().to_string(), .port = from.port()});
+        if (sender != this->members.end()) {
+            sender->second.passed_on = now;
         }
-        if (error) {
-            co_await this->entry.loop.sleep(least_interval);
-            continue;
+        if (this->datagram.front() == for_its_domain && !unreadable) {
+            this->pass_on(reports);
         }
-        msgpack::sbuffer buffer;
-        msgpack::pack(buffer, this->ports.copy());
-        asio::co_spawn(this->entry.loop.context(),
-                       send_copy(std::move(asked), std::string{buffer.data(), buffer.size()}),
-                       asio::detached);
-    }
-}
-
-asio::awaitable<void> peer_exchange::fetch_copy(core::address from)
-{
-    auto connection = std::make_shared<tcp::socket>(this->entry.loop.context());
-    this->entry.loop.once(copy_limit, [connection](core::instant) {
-        error_code ignored;
-        connection->close(ignored);
-    });
-    error_code error;
-    std::uint64_t size = 0;
-    std::array<char, sizeof size> head{};
-    const tcp::endpoint where{asio::ip::make_address_v4(from.host), from.port};
-    co_await connection->async_connect(where, asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-        co_await asio::async_read(
-            *connection, asio::buffer(head), asio::redirect_error(asio::use_awaitable, error));
-        std::memcpy(&size, head.data(), sizeof size);
-    }
-    std::string bytes;
-    if (!error && size <= largest_copy) {
-        bytes.resize(size);
-        co_await asio::async_read(
-            *connection, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-    }
-    this->fetching = false;
-    telemetry::log_event line{"catalog_from_peer"};
-    line.with("peer", core::to_string(from)).with("bytes", size);
-    if (error || bytes.empty()) {
-        telemetry::write(line.with("outcome", "failed").with("reason", error.message()));
-        co_return;
-    }
-    try {
-        const auto handle = unpack_bounded(bytes);
-        const auto copy = handle.get().as<catalog_copy>();
-        ++this->counted.copies_taken;
-        telemetry::write(line.with("outcome", "taken")
-                             .with("version", copy.table_version)
-                             .with("revision", copy.list_revision));
-        this->ports.take(copy);
-    } catch (const msgpack::unpack_error& problem) {
-        telemetry::write_error(line.with("outcome", "unreadable").with("reason", problem.what()));
-    } catch (const msgpack::type_error& problem) {
-        telemetry::write_error(line.with("outcome", "unreadable").with("reason", problem.what()));
     }
 }
 
--- a/tests/peers/store_readers_test.cpp
+++ b/tests/peers/store_readers_test.cpp
@@ -89,4 +89,16 @@
     BOOST_TEST(staying == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(when_all_start_at_once_some_read_the_store_within_300_ms)
+{
+    BOOST_TEST((peers::first_choice <= 300ms));
+    const auto all = names(9);
+    std::vector<reader_candidate> fleet;
+    for (const auto& name : all) {
+        fleet.push_back({.name = name, .heard = start + 100ms}); // as empty as this one
+    }
+    const auto count = count_readers(fleet, start + peers::first_choice);
+    BOOST_TEST(count == peers::readers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
