--- /dev/null
+++ b/tests/soak/fault_driver.cpp
@@ -0,0 +1,365 @@
+#include "fault_driver.hpp"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <iostream>
+#include <thread>
+#include <utility>
+
+namespace hibiscusfall::soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using testing::platform_store;
+
+/// Bounds of the platform's pages, and what a busy machine adds to a process's start and a thread's turn.
+constexpr std::int64_t configuration_bound_ms = 2000 + 1000;
+constexpr std::int64_t contact_ms = 3000;
+constexpr auto graceful_limit = 8s;
+
+} // namespace
+
+fault_driver::fault_driver(soak_fleet& target, ledger& record, std::uint64_t seed)
+    : fleet(target), records(record), random(seed)
+{
+}
+
+std::int64_t fault_driver::between(std::int64_t low, std::int64_t high)
+{
+    return std::uniform_int_distribution<std::int64_t>{low, high}(this->random);
+}
+
+soak_entry& fault_driver::any_entry()
+{
+    return *this->fleet.entries[static_cast<std::size_t>(
+        this->between(0, static_cast<std::int64_t>(this->fleet.entries.size()) - 1))];
+}
+
+platform_endpoint& fault_driver::any_endpoint()
+{
+    return *this->fleet.endpoints[static_cast<std::size_t>(
+        this->between(0, static_cast<std::int64_t>(this->fleet.endpoints.size()) - 1))];
+}
+
+void fault_driver::say(const std::string& text) const
+{
+    std::cout << "t=" << now_ms() << " fault: " << text << std::endl;
+}
+
+void fault_driver::later(std::int64_t after_ms, std::function<void()> undo)
+{
+    this->undos.push_back({.at_ms = now_ms() + after_ms, .undo = std::move(undo)});
+}
+
+void fault_driver::settle(bool all)
+{
+    for (std::size_t i = 0; i < this->undos.size();) {
+        if (!all && this->undos[i].at_ms > now_ms()) {
+            ++i;
+            continue;
+        }
+        const auto undo = std::move(this->undos[i].undo);
+        this->undos.erase(this->undos.begin() + static_cast<std::ptrdiff_t>(i));
+        undo();
+    }
+}
+
+void fault_driver::run(std::chrono::milliseconds length)
+{
+    const auto until = now_ms() + length.count();
+    while (now_ms() < until) {
+        const auto next = now_ms() + this->between(150, 1200);
+        while (now_ms() < next) {
+            this->settle(false);
+            std::this_thread::sleep_for(10ms);
+        }
+        this->inject();
+        ++this->count;
+    }
+    while (!this->undos.empty()) {
+        this->settle(true);
+    }
+    this->rules.clear();
+    this->fleet.set_rules({});
+}
+
+void fault_driver::inject()
+{
+    static constexpr std::array<void (fault_driver::*)(), 12> kinds{&fault_driver::kill_entry,
+                                                                    &fault_driver::pause_entry,
+                                                                    &fault_driver::restart_entry,
+                                                                    &fault_driver::hang_up_entry,
+                                                                    &fault_driver::harm_endpoint_link,
+                                                                    &fault_driver::harm_store_link,
+                                                                    &fault_driver::trouble_store,
+                                                                    &fault_driver::misbehave,
+                                                                    &fault_driver::drain_endpoint,
+                                                                    &fault_driver::change_configuration,
+                                                                    &fault_driver::write_unreadable_entry,
+                                                                    &fault_driver::kill_all_entries};
+    const auto kind = static_cast<std::size_t>(this->between(0, kinds.size() - 1));
+    (this->*kinds[kind])();
+}
+
+void fault_driver::check_exit(soak_entry& entry, bool graceful)
+{
+    const auto code = entry.process->wait(graceful_limit);
+    if (graceful && (!code || *code != 0)) {
+        this->records.note_broken({.rule = "shutdown",
+                                   .request = entry.name,
+                                   .detail = code ? "ended with " + std::to_string(*code)
+                                                  : "still runs 8 s after the order to stop"});
+    }
+}
+
+void fault_driver::stop_and_restart(soak_entry& entry, int signal, std::int64_t down_ms)
+{
+    {
+        const std::lock_guard lock(entry.mutex);
+        if (!entry.process || entry.stopping) {
+            return; // between two lives
+        }
+        if (!entry.process->running()) {
+            this->records.note_broken({.rule = "exit", .request = entry.name, .detail = "ended by itself"});
+        }
+        entry.stopping = true;
+        const bool graceful = signal == SIGTERM;
+        if (!graceful) {
+            entry.disturbed_until_ms = now_ms() + down_ms;
+        }
+        entry.process->signal(SIGCONT);
+        entry.process->signal(signal);
+    }
+    this->later(signal == SIGTERM ? 6500 : down_ms, [this, &entry, signal] {
+        {
+            const std::lock_guard lock(entry.mutex);
+            this->check_exit(entry, signal == SIGTERM);
+            entry.process.reset();
+        }
+        this->fleet.start_entry(entry);
+    });
+}
+
+void fault_driver::kill_entry()
+{
+    auto& entry = this->any_entry();
+    this->say("kill " + entry.name);
+    this->stop_and_restart(entry, SIGKILL, this->between(100, 1500));
+}
+
+void fault_driver::kill_all_entries()
+{
+    if (this->between(0, 2) != 0) {
+        return;
+    }
+    this->say("kill all entries");
+    const auto down = this->between(200, 1200);
+    for (const auto& entry : this->fleet.entries) {
+        this->stop_and_restart(*entry, SIGKILL, down);
+    }
+}
+
+void fault_driver::restart_entry()
+{
+    auto& entry = this->any_entry();
+    this->say("stop " + entry.name + " gracefully");
+    this->stop_and_restart(entry, SIGTERM, 0);
+}
+
+void fault_driver::pause_entry()
+{
+    auto& entry = this->any_entry();
+    const auto length = this->between(100, 4000);
+    const std::lock_guard lock(entry.mutex);
+    if (!entry.process || entry.stopping) {
+        return;
+    }
+    this->say("pause " + entry.name + " for " + std::to_string(length) + " ms");
+    entry.disturbed_until_ms = now_ms() + length + contact_ms;
+    entry.process->signal(SIGSTOP);
+    this->later(length, [&entry] {
+        const std::lock_guard again(entry.mutex);
+        if (entry.process) {
+            entry.process->signal(SIGCONT);
+        }
+    });
+}
+
+void fault_driver::hang_up_entry()
+{
+    auto& entry = this->any_entry();
+    this->say("hang up " + entry.name);
+    const std::lock_guard lock(entry.mutex);
+    if (entry.process) {
+        entry.process->signal(SIGHUP);
+    }
+}
+
+void fault_driver::add_rule(standins::link_rule rule, std::int64_t for_ms)
+{
+    this->rules.push_back(rule);
+    this->fleet.set_rules(this->rules);
+    this->later(for_ms, [this, from = rule.from, to = rule.to] {
+        const auto same = std::find_if(this->rules.begin(), this->rules.end(), [&](const auto& each) {
+            return each.from == from && each.to == to;
+        });
+        if (same != this->rules.end()) {
+            this->rules.erase(same);
+        }
+        this->fleet.set_rules(this->rules);
+    });
+}
+
+void fault_driver::harm_endpoint_link()
+{
+    auto& endpoint = this->any_endpoint();
+    const auto length = this->between(200, 3500);
+    standins::link_rule rule{.from = "entries", .to = endpoint.id};
+    switch (this->between(0, 3)) {
+    case 0:
+        rule.delay = std::chrono::milliseconds{this->between(20, 400)};
+        break;
+    case 1:
+        rule.cut = true;
+        break;
+    case 2:
+        std::swap(rule.from, rule.to); // its answers only
+        rule.cut = true;
+        break;
+    default:
+        std::swap(rule.from, rule.to);
+        rule.close_after_bytes = static_cast<std::uint64_t>(this->between(1, 800));
+        break;
+    }
+    this->say("harm the link to " + endpoint.id + " for " + std::to_string(length) + " ms");
+    this->add_rule(rule, length);
+}
+
+void fault_driver::harm_store_link()
+{
+    auto& entry = this->any_entry();
+    const auto length = this->between(300, 5000);
+    standins::link_rule rule{.from = entry.name, .to = "store"};
+    if (this->between(0, 1) == 0) {
+        rule.cut = true;
+    } else {
+        std::swap(rule.from, rule.to);
+        rule.cut = true;
+    }
+    this->say("cut the link between " + entry.name + " and the store for " + std::to_string(length) + " ms");
+    entry.disturbed_until_ms = std::max(entry.disturbed_until_ms.load(), now_ms() + length + contact_ms);
+    this->fleet.note_store_trouble(now_ms() + length + contact_ms);
+    this->add_rule(rule, length);
+}
+
+void fault_driver::trouble_store()
+{
+    static constexpr std::array<platform_store::trouble, 3> kinds{
+        platform_store::trouble::silent, platform_store::trouble::busy, platform_store::trouble::reset};
+    const auto length = this->between(200, 5000);
+    this->fleet.note_store_trouble(now_ms() + length + contact_ms);
+    if (this->between(0, 3) == 0) {
+        this->say("the store forgets its history");
+        this->fleet.store.compact();
+        return;
+    }
+    this->say("the store is in trouble for " + std::to_string(length) + " ms");
+    this->fleet.store.set_trouble(kinds[static_cast<std::size_t>(this->between(0, 2))]);
+    this->later(length, [this] { this->fleet.store.set_trouble(platform_store::trouble::none); });
+}
+
+void fault_driver::misbehave()
+{
+    auto& endpoint = this->any_endpoint();
+    const std::array<std::atomic<bool>*, 5> faults{&endpoint.faults.lose_answers,
+                                                   &endpoint.faults.fail,
+                                                   &endpoint.faults.garble,
+                                                   &endpoint.faults.refuse,
+                                                   &endpoint.faults.break_streams};
+    auto* fault = faults[static_cast<std::size_t>(this->between(0, faults.size() - 1))];
+    const auto length = this->between(200, 3000);
+    this->say(endpoint.id + " misbehaves for " + std::to_string(length) + " ms");
+    *fault = true;
+    this->later(length, [fault] { *fault = false; });
+}
+
+void fault_driver::drain_endpoint()
+{
+    auto& endpoint = this->any_endpoint();
+    if (endpoint.gone_since_ms > 0) {
+        return;
+    }
+    const bool announced = this->between(0, 1) == 0;
+    this->say(endpoint.id + (announced ? " drains" : " is gone from the store"));
+    if (announced) {
+        this->fleet.register_endpoint(endpoint, true);
+    } else {
+        this->fleet.remove_endpoint(endpoint);
+    }
+    // The bound holds while the store is well; instances that were away learn of it later.
+    const auto left_at = now_ms();
+    if (this->fleet.store_calm_since(left_at)) {
+        endpoint.gone_since_ms = left_at;
+    }
+    this->later(this->between(3000, 5000), [this, &endpoint] {
+        endpoint.gone_since_ms = 0;
+        ++endpoint.born_ms;
+        this->fleet.register_endpoint(endpoint);
+    });
+}
+
+void fault_driver::probe(int version)
+{
+    const auto path = "/probe-" + std::to_string(version) + "/";
+    for (const auto& entry : this->fleet.entries) {
+        const auto since = now_ms() - configuration_bound_ms - contact_ms;
+        if (entry->stopping || entry->disturbed_since(since)) {
+            continue;
+        }
+        kept_connection connection{entry->callers};
+        const auto id = "probe-" + std::to_string(++this->probes);
+        if (!connection.open()) {
+            continue;
+        }
+        this->records.note_sent(id, request_kind::idempotent, "huts", entry->name);
+        auto seen =
+            connection.exchange(write_request(path, request_kind::idempotent, id, "key-huts", 1500), 1500ms);
+        if (seen.status == 404 && !entry->stopping) {
+            this->records.note_broken(
+                {.rule = "configuration",
+                 .request = id,
+                 .detail = entry->name + " does not know version " + std::to_string(version)});
+        }
+        if (seen.status == 404) {
+            seen.status = 0; // told above
+        }
+        this->records.note_end(id, std::move(seen), true);
+    }
+}
+
+void fault_driver::change_configuration()
+{
+    const auto version = this->fleet.write_configuration();
+    const auto written = now_ms();
+    this->say("configuration " + std::to_string(version));
+    this->later(configuration_bound_ms, [this, version, written] {
+        // An instance that was away from the store is late.
+        if (this->fleet.store_calm_since(written - contact_ms)) {
+            this->probe(version);
+        }
+    });
+}
+
+void fault_driver::write_unreadable_entry()
+{
+    this->say("an entry that cannot be read");
+    this->fleet.store.put("servers/odd-" + std::to_string(this->between(0, 3)),
+                          this->between(0, 1) == 0 ? "{\"service\":7,\"state\":\"ready\"}"
+                                                   : "\xff\xfe not JSON");
+}
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/fault_driver.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "soak_fleet.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace hibiscusfall::soak
+{
+
+/// @brief Injects faults in a random order that the seed decides; they come in series and overlap.
+class fault_driver
+{
+public:
+    fault_driver(soak_fleet& target, ledger& record, std::uint64_t seed);
+
+    /// @brief Injects for a time, then heals everything.
+    void run(std::chrono::milliseconds length);
+
+    [[nodiscard]] std::uint64_t injected() const noexcept { return this->count; }
+
+private:
+    struct pending {
+        std::int64_t at_ms = 0;
+        std::function<void()> undo;
+    };
+
+    void inject();
+    void settle(bool all);
+    void later(std::int64_t after_ms, std::function<void()> undo);
+    void say(const std::string& text) const;
+    void add_rule(standins::link_rule rule, std::int64_t for_ms);
+    std::int64_t between(std::int64_t low, std::int64_t high);
+
+    void kill_entry();
+    void kill_all_entries();
+    void pause_entry();
+    void restart_entry();
+    void hang_up_entry();
+    void harm_endpoint_link();
+    void harm_store_link();
+    void trouble_store();
+    void misbehave();
+    void drain_endpoint();
+    void change_configuration();
+    void write_unreadable_entry();
+
+    soak_entry& any_entry();
+    platform_endpoint& any_endpoint();
+    void stop_and_restart(soak_entry& entry, int signal, std::int64_t down_ms);
+    void check_exit(soak_entry& entry, bool graceful);
+    void probe(int version);
+
+    soak_fleet& fleet;
+    ledger& records;
+    std::mt19937_64 random;
+    std::vector<pending> undos;
+    std::vector<standins::link_rule> rules;
+    std::uint64_t count = 0;
+    std::uint64_t probes = 0;
+};
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/ledger.cpp
@@ -0,0 +1,140 @@
+#include "ledger.hpp"
+
+#include <utility>
+
+namespace hibiscusfall::soak
+{
+
+void ledger::note_sent(const std::string& id, request_kind kind, std::string team, std::string entry)
+{
+    const std::lock_guard lock(this->mutex);
+    this->records[id] = {.kind = kind,
+                         .team = std::move(team),
+                         .entry = std::move(entry),
+                         .sent = std::chrono::steady_clock::now(),
+                         .ended = {},
+                         .seen = {},
+                         .endpoints = {}};
+}
+
+void ledger::note_run(const std::string& id, const std::string& endpoint, const std::string& team)
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found_record = this->records.find(id);
+    if (found_record == this->records.end()) {
+        this->add("unasked", id, "ran at " + endpoint + " but no caller sent it");
+        return;
+    }
+    auto& record = found_record->second;
+    record.endpoints.push_back(endpoint);
+    if (team != record.team) {
+        this->add("unasked", id, "ran for team " + team + " instead of " + record.team);
+    }
+    if (record.kind == request_kind::non_idempotent && record.endpoints.size() > 1) {
+        this->add("twice", id, "ran at " + record.endpoints.front() + " and at " + endpoint);
+    }
+    if (record.finished && (record.seen.status == 503 || record.seen.status == 429) &&
+        record.kind == request_kind::non_idempotent) {
+        this->add("refused", id, "runs at " + endpoint + " after its caller was told that it did not");
+    }
+}
+
+void ledger::note_end(const std::string& id, caller_view seen, bool excused)
+{
+    const std::lock_guard lock(this->mutex);
+    auto& record = this->records[id];
+    record.ended = std::chrono::steady_clock::now();
+    record.finished = true;
+    record.seen = std::move(seen);
+    ++this->statuses[record.seen.status];
+    this->check_answer(id, record, excused);
+}
+
+void ledger::check_answer(const std::string& id, const request_record& record, bool excused)
+{
+    const auto& seen = record.seen;
+    if (!seen.request_id.empty() && seen.request_id != id) {
+        this->add("mixed", id, "got the answer of request " + seen.request_id);
+    }
+    if (seen.status / 100 == 2 && !seen.is_signed) {
+        this->add("mixed", id, "a success without an endpoint's signature");
+    }
+    if (seen.status / 100 == 2 && seen.whole && record.kind != request_kind::stream &&
+        seen.body != "ran " + id) {
+        this->add("mixed", id, "a success with the body \"" + seen.body + "\"");
+    }
+    for (std::size_t i = 0; i < seen.events.size(); ++i) {
+        if (seen.events[i] != i) {
+            this->add(
+                "order", id, "event " + std::to_string(seen.events[i]) + " in place " + std::to_string(i));
+            break;
+        }
+    }
+    if (record.kind == request_kind::stream && seen.status == 200 && seen.whole && !seen.last_event) {
+        this->add("order", id, "a stream that lacks its end was ended as complete");
+    }
+    if ((seen.status == 503 || seen.status == 429) && !record.endpoints.empty() &&
+        record.kind == request_kind::non_idempotent) {
+        this->add("refused", id, "told not to have run, but ran at " + record.endpoints.front());
+    }
+    if (seen.status == 401 || seen.status == 404 || seen.status == 400) {
+        this->add("denied", id, "a proper request got " + std::to_string(seen.status));
+    }
+    if (!seen.any_byte && !record.endpoints.empty() && !excused) {
+        this->add("lost", id, "ran at " + record.endpoints.front() + ", and its connection ended unanswered");
+    }
+}
+
+void ledger::add(std::string rule, const std::string& id, std::string detail)
+{
+    this->found.push_back({.rule = std::move(rule), .request = id, .detail = std::move(detail)});
+}
+
+void ledger::note_broken(broken_promise broken)
+{
+    const std::lock_guard lock(this->mutex);
+    this->found.push_back(std::move(broken));
+}
+
+void ledger::check_final()
+{
+    const std::lock_guard lock(this->mutex);
+    for (const auto& [id, record] : this->records) {
+        if (!record.finished) {
+            this->add("lost", id, "its caller never saw an end");
+        }
+    }
+}
+
+std::vector<broken_promise> ledger::broken() const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->found;
+}
+
+std::optional<double> ledger::served_since(instant from) const
+{
+    const std::lock_guard lock(this->mutex);
+    double sent = 0;
+    double served = 0;
+    for (const auto& [id, record] : this->records) {
+        if (record.sent >= from && record.finished) {
+            ++sent;
+            served += record.seen.whole && record.seen.status / 100 == 2 ? 1 : 0;
+        }
+    }
+    return sent == 0 ? std::nullopt : std::optional{served / sent};
+}
+
+std::string ledger::summary() const
+{
+    const std::lock_guard lock(this->mutex);
+    std::string text = std::to_string(this->records.size()) + " requests:";
+    for (const auto& [status, count] : this->statuses) {
+        text += " " + (status == 0 ? std::string{"unanswered"} : std::to_string(status)) + " " +
+                std::to_string(count);
+    }
+    return text + ", broken promises " + std::to_string(this->found.size());
+}
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/ledger.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hibiscusfall::soak
+{
+
+using instant = std::chrono::steady_clock::time_point;
+
+/// @brief What kind of request a caller sent.
+enum class request_kind : std::uint8_t { non_idempotent, idempotent, stream };
+
+/// @brief How a caller saw its request end.
+struct caller_view {
+    bool any_byte = false; ///< Whether any byte of an answer came.
+    bool whole = false;    ///< Whether the answer ended as it said that it would.
+    int status = 0;        ///< Zero when no head came.
+    bool is_signed = false;
+    std::string request_id; ///< As the answer names it; empty when it does not.
+    std::string body;
+    std::vector<std::uint64_t> events;
+    bool last_event = false; ///< Whether the stream's last event came.
+};
+
+/// @brief One request, from what its caller and the endpoints saw.
+struct request_record {
+    request_kind kind = request_kind::idempotent;
+    std::string team;
+    std::string entry;
+    instant sent{};
+    instant ended{};
+    bool finished = false;
+    caller_view seen;
+    std::vector<std::string> endpoints; ///< Where it ran, in order.
+};
+
+/// @brief A promise that was broken.
+struct broken_promise {
+    std::string rule;
+    std::string request;
+    std::string detail;
+};
+
+/// @brief Keeps what callers and endpoints saw, and checks the promises on it. Any thread may call it.
+class ledger
+{
+public:
+    void note_sent(const std::string& id, request_kind kind, std::string team, std::string entry);
+    void note_run(const std::string& id, const std::string& endpoint, const std::string& team);
+
+    /// @param excused Whether the entry was stopped, paused or killed while the request was under way.
+    void note_end(const std::string& id, caller_view seen, bool excused);
+
+    /// @brief Notes a promise that something else found broken.
+    void note_broken(broken_promise broken);
+
+    /// @brief Checks the requests that ended, as nothing of them may run any more.
+    void check_final();
+
+    [[nodiscard]] std::vector<broken_promise> broken() const;
+    [[nodiscard]] std::string summary() const;
+
+    /// @brief Part of the requests sent since an instant that were served.
+    [[nodiscard]] std::optional<double> served_since(instant from) const;
+
+private:
+    void check_answer(const std::string& id, const request_record& record, bool excused);
+    void add(std::string rule, const std::string& id, std::string detail);
+
+    mutable std::mutex mutex;
+    std::map<std::string, request_record> records;
+    std::vector<broken_promise> found;
+    std::map<int, std::uint64_t> statuses;
+};
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/platform_endpoint.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "ledger.hpp"
+
+#include "standins/parts/http_server.hpp"
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace hibiscusfall::soak
+{
+
+/// @brief How an endpoint misbehaves for now.
+struct endpoint_faults {
+    std::atomic<bool> lose_answers{false}; ///< Closes the connection instead of answering what it ran.
+    std::atomic<bool> fail{false};         ///< Answers 500.
+    std::atomic<bool> garble{false};       ///< Sends bytes that are no answer.
+    std::atomic<bool> refuse{false};       ///< Says that it did not run the request.
+    std::atomic<bool> break_streams{false};
+};
+
+/// @brief A stand-in endpoint that speaks the platform's headers and tells the ledger what it runs.
+struct platform_endpoint {
+    std::string id;
+    std::string service;
+    std::string domain;
+    std::string host;
+    std::uint16_t port = 0;
+    std::uint16_t public_port = 0; ///< Of the proxy's link before it.
+    bool engine = false;
+    std::int64_t born_ms = 1;
+    endpoint_faults faults;
+    std::atomic<std::int64_t> gone_since_ms{0}; ///< When its leaving counts from; zero while it stays.
+    standins::http_server_options server;
+
+    /// @brief Serves on a thread of its own until the process ends.
+    static void start(const std::shared_ptr<platform_endpoint>& endpoint, ledger& records);
+
+    /// @brief Its entry in the store.
+    [[nodiscard]] std::string entry(bool draining) const;
+};
+
+/// @brief Milliseconds of the steady clock.
+[[nodiscard]] std::int64_t now_ms();
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,187 @@
+#include "soak_fleet.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+namespace hibiscusfall::soak
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+json route(const std::string& name,
+           const std::string& prefix,
+           const std::string& kind,
+           const std::string& service)
+{
+    const bool streams = kind == "streaming";
+    return {{"name", name},
+            {"hostname", "soak.example"},
+            {"path-prefix", prefix},
+            {"kind", kind},
+            {"timeout-ms", 3000},
+            {"goal-ms", 300},
+            {"priority", 1},
+            {"service", service},
+            {"max-attempts", kind == "unsafe" ? 1 : 2},
+            {"anonymous", false},
+            {"sticky", streams},
+            {"resumable", streams},
+            {"gap-aim-ms", streams ? 250 : 0}};
+}
+
+std::string domain_of(int number)
+{
+    return number % 2 == 0 ? "north" : "south";
+}
+
+} // namespace
+
+soak_fleet::soak_fleet(fleet_options settings, ledger& record) : options(std::move(settings)), records(record)
+{
+    std::filesystem::create_directories(this->options.folder);
+    this->proxy_thread = std::thread{[this] {
+        const auto work = boost::asio::make_work_guard(this->proxy.context);
+        this->proxy.context.run();
+    }};
+    this->write_configuration();
+    for (int i = 0; i < this->options.engines; ++i) {
+        this->make_endpoint(i, true);
+    }
+    for (int i = 0; i < this->options.plain_endpoints; ++i) {
+        this->make_endpoint(this->options.engines + i, false);
+    }
+    this->inner_port = testbed::find_free_port(this->block.host(1));
+    for (int i = 0; i < this->options.entries; ++i) {
+        this->make_entry(i);
+    }
+}
+
+soak_fleet::~soak_fleet()
+{
+    for (const auto& entry : this->entries) {
+        const std::lock_guard lock(entry->mutex);
+        entry->process.reset();
+    }
+    this->proxy.context.stop();
+    this->proxy_thread.join();
+}
+
+void soak_fleet::add_link(const std::string& name,
+                          const std::string& source,
+                          std::uint16_t listen,
+                          const core::address& target)
+{
+    const standins::link_listener listener{.name = name,
+                                           .source = source,
+                                           .datagrams = false,
+                                           .listen = boost::asio::ip::make_address("127.0.0.1"),
+                                           .listen_port = listen,
+                                           .target = boost::asio::ip::make_address(target.host),
+                                           .target_port = target.port};
+    boost::asio::post(this->proxy.context, [this, listener] { start_stream_link(this->proxy, listener); });
+}
+
+void soak_fleet::make_endpoint(int number, bool engine)
+{
+    auto endpoint = std::make_shared<platform_endpoint>();
+    endpoint->id = (engine ? "engine-" : "plain-") + std::to_string(number);
+    endpoint->service = engine ? "draft" : "desk";
+    endpoint->domain = domain_of(number);
+    endpoint->host = "127.0.0.1";
+    endpoint->port = testbed::find_free_port(endpoint->host);
+    endpoint->engine = engine;
+    platform_endpoint::start(endpoint, this->records);
+    endpoint->public_port = testbed::find_free_port(endpoint->host);
+    this->add_link(
+        endpoint->id, "entries", endpoint->public_port, {.host = endpoint->host, .port = endpoint->port});
+    this->register_endpoint(*endpoint);
+    this->endpoints.push_back(std::move(endpoint));
+}
+
+void soak_fleet::make_entry(int number)
+{
+    constexpr int first_host = 10;
+    auto entry = std::make_unique<soak_entry>();
+    entry->name = "entry-" + std::to_string(number);
+    entry->host = this->block.host(first_host + number);
+    entry->callers = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
+    entry->readiness = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
+    entry->store_port = testbed::find_free_port("127.0.0.1");
+    this->add_link("store", entry->name, entry->store_port, this->store.address());
+    std::ofstream{this->options.folder / (entry->name + ".ini")}
+        << "[instance]\nid = " << entry->name << "\nfailure_domain = " << domain_of(number)
+        << "\n[listen]\ncallers = " << core::to_string(entry->callers)
+        << "\nreadiness = " << core::to_string(entry->readiness) << "\ninner = " << entry->host << ":"
+        << this->inner_port << "\n[peers]\nseeds = " << this->block.host(first_host) << ":1, "
+        << this->block.host(first_host + 1) << ":1\n[store]\naddress = 127.0.0.1:" << entry->store_port
+        << "\n[shutdown]\nlimit_s = 6\n";
+    this->entries.push_back(std::move(entry));
+    this->start_entry(*this->entries.back());
+}
+
+void soak_fleet::start_entry(soak_entry& entry)
+{
+    const std::lock_guard lock(entry.mutex);
+    const auto log = this->options.folder / (entry.name + "." + std::to_string(++entry.life) + ".log");
+    entry.process.emplace(testbed::child_process_options{
+        .program = this->options.entry_program,
+        .arguments = {"--settings", (this->options.folder / (entry.name + ".ini")).string()},
+        .log_file = log.string()});
+    entry.stopping = false;
+}
+
+int soak_fleet::write_configuration()
+{
+    const int number = ++this->version;
+    json routes = json::array({route("print", "/print/", "unsafe", "desk"),
+                               route("view", "/view/", "safe", "desk"),
+                               route("draft", "/draft/", "streaming", "draft")});
+    for (int each = 2; each <= number; ++each) {
+        const auto name = "probe-" + std::to_string(each);
+        routes.push_back(route(name, "/" + name + "/", "safe", "desk"));
+    }
+    const json engine{{"slots", 32}, {"kv-capacity-tokens", 400000}, {"stride", 6}};
+    const json all{{"version", number},
+                   {"routes", routes},
+                   {"services",
+                    json::array({{{"name", "draft"}, {"max-conns", 400}, {"engine", engine}},
+                                 {{"name", "desk"}, {"max-conns", 200}}})},
+                   {"limits", {{"tokens-per-s", 900000}}},
+                   {"tenants",
+                    json::array({{{"name", "huts"}, {"api-keys", {"key-huts"}}},
+                                 {{"name", "schools"}, {"api-keys", {"key-schools"}}}})}};
+    this->store.put("op/config", all.dump());
+    return number;
+}
+
+void soak_fleet::set_rules(std::vector<standins::link_rule> rules)
+{
+    boost::asio::post(this->proxy.context, [this, rules = std::move(rules)]() mutable {
+        this->proxy.rules.rules = std::move(rules);
+    });
+}
+
+void soak_fleet::register_endpoint(platform_endpoint& endpoint, bool draining)
+{
+    this->store.put("servers/" + endpoint.id, endpoint.entry(draining));
+}
+
+void soak_fleet::remove_endpoint(platform_endpoint& endpoint)
+{
+    this->store.remove("servers/" + endpoint.id);
+}
+
+void soak_fleet::note_store_trouble(std::int64_t until_ms)
+{
+    this->store_troubled_until_ms = std::max(this->store_troubled_until_ms.load(), until_ms);
+}
+
+} // namespace hibiscusfall::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "ledger.hpp"
+#include "platform_endpoint.hpp"
+#include "soak_caller.hpp"
+
+#include "standins/parts/link_proxy.hpp"
+#include "testbed/child_process.hpp"
+#include "testbed/loopback_block.hpp"
+#include "tests/adapter/platform_store.hpp"
+
+#include <atomic>
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace hibiscusfall::soak
+{
+
+/// @brief Size of a soak's fleet.
+struct fleet_options {
+    int entries = 5;
+    int engines = 4;
+    int plain_endpoints = 3;
+    std::string entry_program;
+    std::filesystem::path folder; ///< For settings and logs.
+};
+
+/// @brief One entry process, which may be between two lives.
+struct soak_entry {
+    std::string name;
+    std::string host;
+    core::address callers;
+    core::address readiness;
+    std::uint16_t store_port = 0; ///< Of its own link to the store.
+    std::mutex mutex;
+    std::optional<testbed::child_process> process;
+    int life = 0;
+    std::atomic<bool> stopping{false};               ///< Whether it was told to end, or killed.
+    std::atomic<std::int64_t> disturbed_until_ms{0}; ///< Until when its callers may see it cut or silent.
+
+    [[nodiscard]] bool disturbed_since(std::int64_t from_ms) const
+    {
+        return this->disturbed_until_ms >= from_ms;
+    }
+};
+
+/// @brief Real entry processes on loopback, with stand-ins of store and endpoints behind a proxy.
+class soak_fleet
+{
+public:
+    soak_fleet(fleet_options settings, ledger& record);
+    ~soak_fleet();
+    soak_fleet(const soak_fleet&) = delete;
+    soak_fleet& operator=(const soak_fleet&) = delete;
+
+    void start_entry(soak_entry& entry);
+
+    /// @brief Writes a new version of the configuration; the store acknowledges it at once.
+    /// @returns Its version; the route "/probe-VERSION/" exists from it on, in all later ones too.
+    int write_configuration();
+
+    /// @brief Sets the rules of all links, on the proxy's thread.
+    void set_rules(std::vector<standins::link_rule> rules);
+
+    void register_endpoint(platform_endpoint& endpoint, bool draining = false);
+    void remove_endpoint(platform_endpoint& endpoint);
+
+    /// @brief Whether the store and the way to it were well since an instant.
+    [[nodiscard]] bool store_calm_since(std::int64_t from_ms) const
+    {
+        return this->store_troubled_until_ms < from_ms;
+    }
+    void note_store_trouble(std::int64_t until_ms);
+
+    testing::platform_store store;
+    std::vector<std::shared_ptr<platform_endpoint>> endpoints;
+    std::vector<std::unique_ptr<soak_entry>> entries;
+
+private:
+    void make_endpoint(int number, bool engine);
+    void make_entry(int number);
+    void add_link(const std::string& name,
+                  const std::string& source,
+                  std::uint16_t listen,
+                  const core::address& target);
+
+    fleet_options options;
+    ledger& records;
+    testbed::loopback_block block;
+    standins::link_proxy proxy;
+    std::thread proxy_thread;
+    std::uint16_t inner_port = 0;
+    int version = 1;
+    std::atomic<std::int64_t> store_troubled_until_ms{0};
+};
+
+} // namespace hibiscusfall::soak
