Refuse streams while the loop is behind, and take waiting callers in batches

The balancer sends one client's flood (over 400 requests a second) to one instance with 0.12 of a core; one connection was taken for each turn of the loop, so that 1,024 waited until their callers had given up. Ruled out: descriptors (no accept failed), the store and peers (known versions, 140 endpoints weighed). Change: connections are taken in batches from a queue of 128, those that were given up are dropped; a loop that is 40 ms behind refuses streams as not run with another instance 20 ms away, says not to be ready for 3 s, and closes kept connections after their answers. What is seen late for this reason is not held against engines.

--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -8,9 +8,12 @@
 #include "hibiscusfall/relay/dialect.hpp"
 #include "hibiscusfall/relay/entry_options.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
+#include "hibiscusfall/relay/loop_load.hpp"
 #include "hibiscusfall/telemetry/latency_recorder.hpp"
 #include "hibiscusfall/telemetry/metrics_page.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -105,16 +108,21 @@
     std::uint32_t instances = 1;
     bool endpoints_known = false;
     bool outdated = false;
+    loop_load load;
     bool leaving = false;
     core::instant left_at{};
 
 private:
     void sweep(core::instant now);
+    void note_lag(core::instant now);
+    void take_waiting_callers();
+    void begin_session(asio::ip::tcp::socket accepted);
     asio::awaitable<void> accept_callers();
 
     struct listeners;
     std::unique_ptr<listeners> listening;
     catalog::endpoint_list endpoints;
+    core::instant last_sweep{};
     std::function<void()> done;
     std::vector<std::function<void(telemetry::metrics_page&)>> more_metrics;
 };
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -146,7 +146,7 @@
 {
     state.head_sent = true;
     std::string text = answer_fields(head) + "Transfer-Encoding: chunked\r\n";
-    text += state.caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    text += state.caller.end_of_head();
     std::string status = "HTTP/1.1 " + std::to_string(head.result_int()) + " ";
     status += reason_of(head.result_int());
     status += "\r\n";
@@ -202,7 +202,8 @@
         const auto now = event_loop::now();
         note_event(state, now);
         if (!running.started) {
-            const auto error = dispatch::note_started(state.owner.book, running, now);
+            const auto error =
+                dispatch::note_started(state.owner.book, running, now - view_delay(state.owner.load));
             state.owner.first_bytes.record(error.seen);
             if (error.seen >= error.expected) {
                 state.owner.late_starts.record(error.seen - error.expected);
@@ -210,6 +211,7 @@
                 state.owner.early_starts.record(error.expected - error.seen);
             }
         }
+        dispatch::note_event(state.owner.book, running, now);
         if (!state.head_sent) {
             co_await send_stream_head(state, parser.get());
         }
@@ -288,7 +290,8 @@
     state.caller.work_on(link);
     const auto address = endpoint.entry.address;
     const auto left = core::elapsed(event_loop::now(), state.deadline);
-    const bool connected = co_await connect(link, address, std::min(connect_limit, left));
+    const bool connected =
+        co_await connect(link, address, std::min(connect_limit + view_delay(state.owner.load), left));
     if (!connected) {
         co_return nullptr;
     }
@@ -320,7 +323,7 @@
     if (answer.status != 204 && answer.status != 304) {
         head += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
-    head += state.caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    head += state.caller.end_of_head();
     state.head_sent = true;
     co_await state.caller.write(head, answer.body);
 }
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -185,6 +185,14 @@
     co_return !this->caller_gone;
 }
 
+std::string_view caller_session::end_of_head() noexcept
+{
+    if (moves_callers(this->owner.load, event_loop::now())) {
+        this->close_after_answer();
+    }
+    return this->keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+}
+
 bool caller_session::look_if_gone()
 {
     char byte = 0;
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -59,6 +59,9 @@
     /// @brief After this answer the connection is closed.
     void close_after_answer() noexcept { this->keep_open = false; }
 
+    /// @brief The end of an answer's head, which tells the caller whether the connection stays open.
+    [[nodiscard]] std::string_view end_of_head() noexcept;
+
 private:
     using request_parser = http::request_parser<http::string_body>;
 
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -31,6 +31,8 @@
 /// The process ends by itself this much before it would be killed.
 constexpr core::duration end_margin = milliseconds{250};
 constexpr core::duration accept_pause = milliseconds{20};
+/// Connections that are taken in one turn of the loop at most, so that answers under way go on.
+constexpr int most_accepts = 32;
 
 } // namespace
 
@@ -84,13 +86,14 @@
 
 bool entry::ready() const noexcept
 {
-    return this->table && this->endpoints_known && !this->leaving;
+    return this->table && this->endpoints_known && !this->leaving && !this->load.overloaded;
 }
 
 void entry::listen()
 {
     this->listening =
         std::make_unique<listeners>(listeners{detail::open_listener(this->loop, this->options.callers)});
+    this->listening->callers.non_blocking(true);
     asio::co_spawn(this->loop.context(), this->accept_callers(), asio::detached);
     detail::serve_pages(this->loop, this->options.readiness, [this] {
         constexpr unsigned not_ready = 503;
@@ -102,6 +105,7 @@
                                 .body = this->metrics_text()};
         });
     }
+    this->last_sweep = event_loop::now();
     this->loop.every(sweep_interval, [this](core::instant now) { this->sweep(now); });
     this->loop.every(milliseconds{100},
                      [this](core::instant now) { dispatch::advance(this->book.shares, now); });
@@ -136,8 +140,23 @@
     return this->leaving && now - this->left_at >= still_accepting;
 }
 
+void entry::note_lag(core::instant now)
+{
+    const auto since = core::elapsed(std::exchange(this->last_sweep, now), now);
+    const bool changed =
+        relay::note_lag(this->load, std::max(since - sweep_interval, core::duration::zero()), now);
+    this->book.view_delay = view_delay(this->load);
+    if (!changed) {
+        return;
+    }
+    telemetry::write(telemetry::log_event{this->load.overloaded ? "overloaded" : "overload_over"}
+                         .with("lag_ms", static_cast<std::int64_t>(this->load.lag_ms))
+                         .with("sessions", this->sessions->size()));
+}
+
 void entry::sweep(core::instant now)
 {
+    this->note_lag(now);
     this->links->sweep(now);
     bool busy = false;
     const bool closing = this->leaving && now - this->left_at >= still_accepting;
@@ -179,13 +198,37 @@
             co_await this->loop.sleep(accept_pause);
             continue;
         }
-        ++this->counters.connections;
-        socket.set_option(tcp::no_delay{true}, error);
-        const auto session = std::make_shared<detail::caller_session>(*this, std::move(socket));
-        this->sessions->emplace(session.get(), session);
-        asio::co_spawn(
-            this->loop.context(), [session] { return session->run(); }, asio::detached);
+        this->begin_session(std::move(socket));
+        this->take_waiting_callers();
+    }
+}
+
+void entry::take_waiting_callers()
+{
+    // On a busy loop one connection for each turn would leave the others to wait until their callers give up.
+    for (int taken = 0; taken < most_accepts; ++taken) {
+        error_code error;
+        tcp::socket socket{this->loop.context()};
+        this->listening->callers.accept(socket, error);
+        if (error) {
+            return; // none waits, or the next turn tells why
+        }
+        this->begin_session(std::move(socket));
+    }
+}
+
+void entry::begin_session(tcp::socket accepted)
+{
+    ++this->counters.connections;
+    error_code ignored;
+    accepted.set_option(tcp::no_delay{true}, ignored);
+    const auto session = std::make_shared<detail::caller_session>(*this, std::move(accepted));
+    if (session->look_if_gone()) {
+        return; // its caller gave up while it waited to be taken
     }
+    this->sessions->emplace(session.get(), session);
+    asio::co_spawn(
+        this->loop.context(), [session] { return session->run(); }, asio::detached);
 }
 
 } // namespace hibiscusfall::relay
--- a/src/relay/page_server.cpp
+++ b/src/relay/page_server.cpp
@@ -68,7 +68,8 @@
 
 tcp::acceptor open_listener(event_loop& loop, const core::address& at)
 {
-    constexpr int backlog = 1024;
+    // A small instance takes some 300 connections a second, and callers wait a second for one.
+    constexpr int backlog = 128;
     tcp::acceptor acceptor{loop.context()};
     const tcp::endpoint where{asio::ip::make_address_v4(at.host), at.port};
     acceptor.open(where.protocol());
--- a/src/relay/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -41,7 +41,7 @@
     if (answer.retry_after > core::duration::zero()) {
         head += "Retry-After: " + to_seconds(answer.retry_after) + "\r\n";
     }
-    head += caller.keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
+    head += caller.end_of_head();
     co_await caller.write(head, body);
 }
 
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -27,7 +27,7 @@
 constexpr int return_part = 3;
 /// When an instance that knows no configuration expects one: some reads of the store.
 constexpr core::duration configuration_wait = milliseconds{400};
-/// After a refusal by an instance that ends, another one can serve at once.
+/// After a refusal by an instance that ends or is overloaded, another one can serve at once.
 constexpr core::duration moved_wait = milliseconds{20};
 /// Time at the end of the route's timeout in which the final answer is on its way.
 constexpr core::duration answer_margin = milliseconds{10};
@@ -141,6 +141,15 @@
                            .detail = "this instance ends before the stream would",
                            .retry_after = moved_wait};
         }
+        if (this->state.route->kind == catalog::route_kind::stream && refuses_streams(this->owner.load)) {
+            this->caller.close_after_answer();
+            return refusal{.status = 503,
+                           .code = "overloaded",
+                           .detail = "this instance is " +
+                                     std::to_string(static_cast<int>(this->owner.load.lag_ms)) +
+                                     " ms behind; others are not",
+                           .retry_after = moved_wait};
+        }
         return std::nullopt;
     }
 
@@ -188,6 +197,7 @@
                                           .arrived = this->state.arrived,
                                           .deadline = std::min(this->state.deadline, this->state.timeout_at),
                                           .aim = this->state.route->aim,
+                                          .pause_aim = this->state.route->pause_aim,
                                           .repeatable = this->state.route->repeatable(),
                                           .excluded = this->tried,
                                           .draw = this->draw};
