--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -64,6 +64,19 @@
     return least_interval + interval_for_member * static_cast<int>(members);
 }
 
+/// The instances of one failure domain, and where each of them takes datagrams.
+struct known_domain {
+    std::vector<hub_candidate> instances;
+    std::vector<const core::address*> addresses;
+};
+
+/// Where the domain's hub takes datagrams; null for none.
+const core::address* hub_address(const known_domain& domain)
+{
+    const auto chosen = choose_hub(domain.instances);
+    return chosen.has_value() ? domain.addresses[*chosen] : nullptr;
+}
+
 std::uint32_t to_milliseconds(core::duration value)
 {
     const auto count = std::chrono::duration_cast<milliseconds>(value).count();
@@ -218,10 +231,6 @@
 
 peer_exchange::domain_hubs peer_exchange::choose_hubs(core::instant now) const
 {
-    struct known_domain {
-        std::vector<hub_candidate> instances;
-        std::vector<const core::address*> addresses;
-    };
     std::map<std::string_view, known_domain> domains;
     const auto own_domain = this->entry.options.domain.view();
     auto& own = domains[own_domain];
@@ -245,12 +254,9 @@
     }
     domain_hubs hubs;
     for (const auto& [name, domain] : domains) {
-        if (name == own_domain && domain.instances.size() <= most_direct) {
-            continue;
-        }
-        const auto chosen = choose_hub(domain.instances);
-        if (chosen.has_value()) {
-            hubs.emplace(name, domain.addresses[*chosen]);
+        const bool direct = name == own_domain && domain.instances.size() <= most_direct;
+        if (const auto* hub = direct ? nullptr : hub_address(domain)) {
+            hubs.emplace(name, hub);
         }
     }
     return hubs;
