Heed endpoints that leave or want a rest; bound bytes without end

Cause: the relay knew an endpoint's departure from the store alone, and sent on while an endpoint asked for a rest. A head, a chunk extension, trailers or interim answers without an end grew the connection's buffer until the deadline; a whole answer could hold 64 MiB in a process of 88 MB; comments counted as progress of a resumable stream; an answer that names no request could be passed on as a failure of the endpoint.

Ruled out: a ban for all instances when one is asked to rest (the rule is for each machine).

Change: dispatch/departures and closed_until in endpoint_health, from every answer; both are looked at again after a connection was made, and an attempt that sent nothing costs no repeat. When all endpoints rest callers get the first return as their time. 64 KiB of unparsed bytes, 4 MiB of a whole answer, 8 interim answers. Calls that the end could cut are refused as not run.

--- a/include/hibiscusfall/dispatch/fleet_book.hpp
+++ b/include/hibiscusfall/dispatch/fleet_book.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/catalog/route_table.hpp"
+#include "hibiscusfall/dispatch/departures.hpp"
 #include "hibiscusfall/dispatch/endpoint_health.hpp"
 #include "hibiscusfall/dispatch/engine_model.hpp"
 #include "hibiscusfall/dispatch/engine_pace.hpp"
@@ -57,6 +58,7 @@
     std::vector<endpoint_state> endpoints;
     std::unordered_map<endpoint_tag, std::size_t> positions; ///< Of endpoints in the list.
     kept_parts parts;
+    departures leaving; ///< Endpoints that said so in an answer.
     team_shares shares;
     std::map<std::string, peer_state> peers;
     std::map<core::failure_domain_id, core::instant> domain_heard; ///< Domains other than the own one.
@@ -110,6 +112,13 @@
 /// are taken waits for as many ends as wait before it.
 [[nodiscard]] core::duration expected_place(const endpoint_state& state, core::duration stream_time) noexcept;
 
+/// @brief Whether an endpoint takes new requests of this instance, as far as its own answers say.
+[[nodiscard]] inline bool
+accepts_requests(const fleet_book& book, const endpoint_state& state, core::instant now)
+{
+    return state.listed && !leaves(book.leaving, state.tag) && !is_closed(state.health, now);
+}
+
 /// @brief Whether a failure domain can be reached, as far as is known: its instances or endpoints were heard
 /// of lately, or it was never heard of.
 [[nodiscard]] bool
--- a/include/hibiscusfall/relay/dialect.hpp
+++ b/include/hibiscusfall/relay/dialect.hpp
@@ -44,6 +44,9 @@
     bool is_signed = false;                     ///< Whether it bears the endpoint's signature.
     bool not_run = false;                       ///< Whether it states that the request was not run.
     std::optional<core::duration> idle_timeout; ///< After which the endpoint closes an idle connection.
+    bool leaving = false;                       ///< Whether the endpoint says that it is about to end.
+    std::optional<core::duration> rest{};       ///< For how long it wants nothing from this instance.
+    bool rest_unreadable = false;               ///< Whether it stated such a time that cannot be read.
 };
 
 /// @brief How requests and answers speak: plain functions, one set for each deployment.
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -37,6 +37,7 @@
 struct own_work {
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> teams; ///< Asked and given, totals.
     std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>> parts;     ///< Since the last report.
+    std::vector<dispatch::endpoint_tag> departures; ///< Endpoints that said to this one that they leave.
 };
 
 /// @brief Takes callers' requests and relays them to endpoints, on one event loop.
@@ -78,6 +79,9 @@
     /// @brief Whether a stream that begins now may be cut by this instance's end.
     [[nodiscard]] bool too_late_for_streams(core::instant now) const noexcept;
 
+    /// @brief Whether a request that may take until @p limit could be cut by this instance's end.
+    [[nodiscard]] bool ends_before(core::instant limit) const noexcept;
+
     /// @brief Stops taking callers; calls back once all have their answers, or shortly before the limit.
     void leave(std::function<void()> when_done);
 
--- a/include/hibiscusfall/relay/event_loop.hpp
+++ b/include/hibiscusfall/relay/event_loop.hpp
@@ -3,6 +3,7 @@
 #include "hibiscusfall/core/instant.hpp"
 #include "hibiscusfall/timing/timer_service.hpp"
 
+#include <cstdint>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -29,9 +30,13 @@
     asio::awaitable<void> sleep(core::duration length);
 
     /// @name Running
-    void run() { this->io.run(); }
+    /// @brief Runs until it is stopped. What a handler throws is logged and ends that handler alone.
+    void run();
     void stop() { this->io.stop(); }
 
+    /// @brief Handlers that ended with an exception.
+    [[nodiscard]] std::uint64_t handler_failures() const noexcept { return this->failures; }
+
 private:
     void arm();
 
@@ -39,6 +44,7 @@
     timing::timer_service timers;
     asio::steady_timer alarm{this->io};
     core::instant armed_for = core::instant::max();
+    std::uint64_t failures = 0;
 };
 
 } // namespace hibiscusfall::relay
--- a/src/dispatch/endpoint_health.cpp
+++ b/src/dispatch/endpoint_health.cpp
@@ -39,4 +39,10 @@
     health.rests_until = now + std::min(first_rest * (1U << doublings), longest_rest);
 }
 
+void note_asked_rest(endpoint_health& health, core::duration rest, core::instant now) noexcept
+{
+    const auto granted = std::clamp(rest, core::duration::zero(), longest_asked_rest);
+    health.closed_until = std::max(health.closed_until, now + granted);
+}
+
 } // namespace hibiscusfall::dispatch
--- a/src/dispatch/fleet_book.cpp
+++ b/src/dispatch/fleet_book.cpp
@@ -207,6 +207,7 @@
         }
     }
     forget_old_parts(book.parts, now);
+    forget_old_departures(book.leaving, now);
     for (auto& state : book.endpoints) {
         relax_speed(state.model);
     }
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <optional>
 
 namespace hibiscusfall::dispatch
 {
@@ -34,6 +35,8 @@
 constexpr double plain_call_ms = 60.0;
 /// Calls that a plain endpoint may have waiting for each slot, over the fleet.
 constexpr std::uint32_t plain_queue_per_slot = 3;
+/// When a service without endpoints is expected to have one: a new endpoint is listed within about a second.
+constexpr core::duration no_endpoint_wait = milliseconds{500};
 constexpr double other_domain_ms = 2.0; // a round trip between failure domains
 
 struct scored {
@@ -60,7 +63,7 @@
               bool any_health,
               core::instant now)
 {
-    if (!state.listed || state.entry.service != request.service) {
+    if (state.entry.service != request.service || !accepts_requests(book, state, now)) {
         return false;
     }
     if (std::find(request.excluded.begin(), request.excluded.end(), state.tag) != request.excluded.end()) {
@@ -173,6 +176,21 @@
     return best;
 }
 
+/// When the first endpoint that asked for a rest takes requests again; nothing when none of them rests.
+std::optional<core::duration>
+first_return(const fleet_book& book, const candidate& request, core::instant now)
+{
+    std::optional<core::duration> first;
+    for (const auto& state : book.endpoints) {
+        if (state.entry.service == request.service && state.listed && is_closed(state.health, now) &&
+            !leaves(book.leaving, state.tag)) {
+            first = std::min(first.value_or(core::duration::max()),
+                             core::elapsed(now, state.health.closed_until));
+        }
+    }
+    return first;
+}
+
 /// Spreads the return of refused callers over the time after @p earliest, by the request's digest.
 core::duration spread(core::duration earliest, core::duration over, std::uint64_t draw)
 {
@@ -246,7 +264,9 @@
     if (best.state == nullptr) {
         refuse(decision,
                core::failure::no_endpoint,
-               spread(milliseconds{500}, milliseconds{1000}, request.draw));
+               spread(first_return(book, request, now).value_or(no_endpoint_wait),
+                      milliseconds{1000},
+                      request.draw));
         return decision;
     }
     decision.placed = true;
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -2,6 +2,8 @@
 
 #include "refusal.hpp"
 
+#include "hibiscusfall/telemetry/log_event.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -92,9 +94,10 @@
         return failed(verdict::not_run(failure::endpoint_refused, "the endpoint refused the request"),
                       endpoint_sign::refused);
     }
-    if (!facts.is_signed) {
-        return failed(verdict::may_have_run(failure::garbled_answer, "the answer is not signed"),
-                      endpoint_sign::failed);
+    if (!facts.is_signed || facts.request_id.empty()) {
+        return failed(
+            verdict::may_have_run(failure::garbled_answer, "the answer is not signed, or names no request"),
+            endpoint_sign::failed);
     }
     const bool fault = answer.status >= 500;
     attempt_end result{.outcome =
@@ -171,15 +174,17 @@
                                           core::instant limit)
 {
     piece_parser parser{std::move(*head)};
+    parser.body_limit(boost::none); // its time is bounded, and no more than an event is held
     head.reset();
     const auto facts = state.owner.speak.read_answer(parser.get());
     if (facts.idle_timeout) {
         link->note_idle_timeout(*facts.idle_timeout);
     }
     std::string piece;
+    auto progress = event_loop::now(); // comments and parts of events are none
     while (true) {
         link->expires = !running.started         ? limit
-                        : state.route->resumable ? event_loop::now() + resumable_pause_limit
+                        : state.route->resumable ? progress + resumable_pause_limit
                                                  : state.deadline;
         link->expires = std::min(link->expires, state.deadline);
         const auto end = co_await read_piece(link, parser, piece);
@@ -190,6 +195,7 @@
         if (piece.empty()) {
             break;
         }
+        const auto events_before = state.events.tokens;
         if (traffic::feed(state.events, piece) != traffic::scan_fault::none) {
             link->close();
             co_return failed(
@@ -200,6 +206,9 @@
             continue;
         }
         const auto now = event_loop::now();
+        if (state.events.tokens > events_before) {
+            progress = now;
+        }
         note_event(state, now);
         if (!running.started) {
             const auto error =
@@ -243,6 +252,36 @@
     co_return result;
 }
 
+/// Takes over what an endpoint says of itself in any of its answers.
+void note_endpoint_word(entry& owner,
+                        dispatch::endpoint_tag tag,
+                        const answer_facts& facts,
+                        core::instant now)
+{
+    auto* endpoint = dispatch::find(owner.book, tag);
+    if (endpoint == nullptr) {
+        return;
+    }
+    const auto id = endpoint->entry.id.view();
+    if (facts.leaving && dispatch::note_departure(owner.book.leaving, tag, now)) {
+        owner.work.departures.push_back(tag);
+        owner.links->drop_idle(tag);
+        telemetry::write(
+            telemetry::log_event{"endpoint_leaves"}.with("endpoint", id).with("cause", "answer"));
+    }
+    if (facts.rest) {
+        if (!dispatch::is_closed(endpoint->health, now)) {
+            telemetry::write(telemetry::log_event{"endpoint_rests"}
+                                 .with("endpoint", id)
+                                 .with("for_ms", facts.rest->count() / 1000));
+        }
+        dispatch::note_asked_rest(endpoint->health, *facts.rest, now);
+    }
+    if (facts.rest_unreadable) {
+        telemetry::write_error(telemetry::log_event{"endpoint_rest_unreadable"}.with("endpoint", id));
+    }
+}
+
 /// Reads and relays the answer on a connection that the request was sent on.
 asio::awaitable<attempt_end> relay_answer(request_state& state,
                                           std::shared_ptr<endpoint_link> link,
@@ -269,6 +308,7 @@
         }
     }
     const auto facts = state.owner.speak.read_answer(head->get());
+    note_endpoint_word(state.owner, link->endpoint, facts, event_loop::now());
     const bool success = head->get().result_int() / 100 == 2;
     if (state.route->kind == catalog::route_kind::stream && success && facts.is_signed &&
         !facts.request_id.empty()) {
@@ -349,6 +389,15 @@
         co_return failed(verdict::not_run(failure::connection_failed, "no connection to the endpoint"),
                          endpoint_sign::unreachable);
     }
+    // While the connection was made the endpoint may have said that it leaves or wants a rest.
+    const auto* still = dispatch::find(state.owner.book, chosen.tag);
+    if (still == nullptr || !dispatch::accepts_requests(state.owner.book, *still, event_loop::now())) {
+        state.owner.links->give_back(link);
+        auto end = failed(verdict::not_run(failure::no_endpoint, "the endpoint takes no requests any more"),
+                          endpoint_sign::good);
+        end.unsent = true;
+        co_return end;
+    }
     state.caller.work_on(link);
     begin_sending(link, request_bytes(state, chosen, event_loop::now()), state.request.body());
     auto end = co_await relay_answer(state, link, running, limit);
@@ -356,6 +405,7 @@
     if (end.caller_gone) {
         link->close();
     }
+    link->broken = link->broken || dispatch::leaves(state.owner.book.leaving, link->endpoint);
     state.owner.links->give_back(link);
     co_return end;
 }
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -47,7 +47,8 @@
     core::verdict outcome;
     bool delivered = false; ///< Whether the caller has the whole answer.
     bool caller_gone = false;
-    bool timed_out = false;              ///< Whether the endpoint did not answer in its time.
+    bool unsent = false;    ///< Whether the endpoint was never sent anything, so that it costs no repeat.
+    bool timed_out = false; ///< Whether the endpoint did not answer in its time.
     std::optional<kept_answer> answer{}; ///< A failure that the endpoint answered.
     dispatch::endpoint_sign sign = dispatch::endpoint_sign::good;
 };
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -18,6 +18,9 @@
 {
 
 constexpr std::size_t read_bytes = 8192;
+/// Bytes beyond the largest head that a parser leaves unread before the request counts as malformed: a
+/// chunk's size with its extensions, or trailers without an end.
+constexpr std::size_t most_unparsed_bytes = 16384;
 /// A caller sends its request within this time of connecting, some round trips on a busy instance; a close
 /// before it would cross the request.
 constexpr core::duration request_on_its_way = std::chrono::milliseconds{400};
@@ -126,6 +129,9 @@
             if (parser.is_done()) {
                 break;
             }
+            if (this->buffer.size() > limits.head_bytes + most_unparsed_bytes) {
+                co_return reading_end::malformed;
+            }
         }
         if (parser.is_header_done() && !asked_to_continue) {
             asked_to_continue = true;
--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -16,7 +16,14 @@
 constexpr std::size_t piece_bytes = 4096;
 /// Answers of other requests that may stand in front of the one awaited.
 constexpr int most_foreign_answers = 3;
-constexpr std::uint64_t largest_answer = 64U << 20U;
+/// Interim answers (1xx) in front of an answer.
+constexpr int most_interim_answers = 8;
+/// Bytes of a whole answer that are held, in a process of 88 MB or more (DEPLOY.md); answers of the users'
+/// services have 800 bytes.
+constexpr std::uint64_t largest_answer = 4U << 20U;
+/// Bytes that a parser leaves unread before they count as no answer: a head, a chunk's size with its
+/// extensions, or trailers without an end.
+constexpr std::size_t most_unparsed_bytes = 65536;
 
 /// Receives more bytes into the link's buffer.
 asio::awaitable<answer_end> receive(std::shared_ptr<endpoint_link> link, bool& ended)
@@ -50,6 +57,9 @@
                 continue;
             }
         }
+        if (link->buffer.size() > most_unparsed_bytes) {
+            co_return answer_end::garbled;
+        }
         bool ended = false;
         const auto end = co_await receive(link, ended);
         if (ended && parser.is_header_done()) {
@@ -86,7 +96,8 @@
                                       std::unique_ptr<head_parser>& result,
                                       std::uint64_t& foreign_answers)
 {
-    for (int dropped = 0; dropped <= most_foreign_answers; ++dropped) {
+    int interim = 0;
+    for (int dropped = 0; dropped <= most_foreign_answers && interim <= most_interim_answers;) {
         result = std::make_unique<head_parser>();
         result->skip(head_request);
         result->body_limit(largest_answer);
@@ -94,10 +105,15 @@
         if (end != answer_end::good) {
             co_return end;
         }
+        if (result->get().result_int() / 100 == 1) {
+            ++interim;
+            continue;
+        }
         const auto facts = speak.read_answer(result->get());
         if (facts.request_id.empty() || facts.request_id == request_id) {
             co_return answer_end::good;
         }
+        ++dropped;
         ++foreign_answers;
         if (result->need_eof()) {
             co_return answer_end::garbled;
@@ -143,6 +159,9 @@
         if (!piece.empty()) {
             co_return answer_end::good;
         }
+        if (link->buffer.size() > most_unparsed_bytes) {
+            co_return answer_end::garbled;
+        }
         bool ended = false;
         const auto end = co_await receive(link, ended);
         if (ended) {
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -140,6 +140,11 @@
     return this->leaving && now - this->left_at >= still_accepting;
 }
 
+bool entry::ends_before(core::instant limit) const noexcept
+{
+    return this->leaving && this->left_at + this->options.stop_limit - end_margin < limit;
+}
+
 void entry::note_lag(core::instant now)
 {
     const auto since = core::elapsed(std::exchange(this->last_sweep, now), now);
--- a/src/relay/event_loop.cpp
+++ b/src/relay/event_loop.cpp
@@ -1,8 +1,12 @@
 #include "hibiscusfall/relay/event_loop.hpp"
 
+#include "hibiscusfall/telemetry/log_event.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
+
 namespace hibiscusfall::relay
 {
 
@@ -27,6 +31,22 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+void event_loop::run()
+{
+    while (true) {
+        try {
+            this->io.run();
+            return;
+        } catch (const std::exception& error) {
+            ++this->failures;
+            telemetry::write_error(telemetry::log_event{"handler_failed"}.with("reason", error.what()));
+            // The alarm may have been lost with the handler; the timers go on.
+            this->armed_for = core::instant::max();
+            this->arm();
+        }
+    }
+}
+
 void event_loop::arm()
 {
     const auto due = this->timers.next_due();
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -134,11 +134,14 @@
                 return this->unknown(401, "unauthorized", "no team holds this key");
             }
         }
-        if (this->state.route->kind == catalog::route_kind::stream &&
-            this->owner.too_late_for_streams(this->state.arrived)) {
+        const bool is_stream = this->state.route->kind == catalog::route_kind::stream;
+        const bool cut_off = is_stream ? this->owner.too_late_for_streams(this->state.arrived)
+                                       : this->owner.ends_before(this->last_answer_time());
+        if (cut_off) {
+            this->caller.close_after_answer();
             return refusal{.status = 503,
                            .code = "shutting-down",
-                           .detail = "this instance ends before the stream would",
+                           .detail = "this instance may end before the request does",
                            .retry_after = moved_wait};
         }
         if (this->state.route->kind == catalog::route_kind::stream && refuses_streams(this->owner.load)) {
@@ -165,15 +168,21 @@
         return {.status = status, .code = code, .detail = std::move(detail)};
     }
 
+    /// Until when the request may wait for its answer.
+    [[nodiscard]] core::instant last_answer_time() const
+    {
+        const auto timeout = this->state.route->timeout;
+        return timeout > core::duration::zero()
+                   ? std::min(this->state.deadline, this->state.arrived + timeout - answer_margin)
+                   : this->state.deadline;
+    }
+
     void prepare()
     {
         const auto& route = *this->state.route;
         this->draw = digest(this->state.facts.id);
         this->state.service = catalog::choose_service(route, this->draw);
-        this->state.timeout_at =
-            route.timeout > core::duration::zero()
-                ? std::min(this->state.deadline, this->state.arrived + route.timeout - answer_margin)
-                : this->state.deadline;
+        this->state.timeout_at = this->last_answer_time();
         this->team = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
         if (auto& generation = this->state.facts.generation) {
             generation->tokens_out =
@@ -270,6 +279,9 @@
         if (this->state.head_sent && !traffic::expect_continuation(this->state.events)) {
             return false;
         }
+        if (end.unsent) {
+            return true;
+        }
         if (!dispatch::take_repeat(this->owner.budgets[this->state.service],
                                    this->owner.options.repeats,
                                    this->owner.instances,
--- a/tests/adapter/request_dialect_test.cpp
+++ b/tests/adapter/request_dialect_test.cpp
@@ -119,6 +119,30 @@
     BOOST_TEST(head["X-Hibiscusfall-Deadline-Ms"] == "1");
 }
 
+BOOST_AUTO_TEST_CASE(answers_state_whether_the_endpoint_leaves_and_for_how_long_it_rests)
+{
+    const auto read = adapter::platform_dialect().read_answer;
+    relay::answer_head head;
+    BOOST_TEST(!read(head).leaving);
+    head.insert("Server-Leaving", "1");
+    BOOST_TEST(read(head).leaving);
+    const auto rest_of = [&](unsigned status, std::string_view text) {
+        relay::answer_head refusal;
+        refusal.result(status);
+        refusal.insert("Retry-After", relay::to_beast(text));
+        return read(refusal);
+    };
+    BOOST_TEST((rest_of(503, "2").rest == core::duration{2s}));
+    BOOST_TEST((rest_of(503, "0.25").rest == core::duration{250ms}));
+    BOOST_TEST((rest_of(503, "1e30").rest > core::duration{1h}));
+    BOOST_TEST(!rest_of(429, "2").rest.has_value());
+    for (const auto* text : {"-1", "soon", "nan", "Fri, 04 Dec 2026 10:00:00 GMT", "2s", ""}) {
+        const auto facts = rest_of(503, text);
+        BOOST_TEST(!facts.rest.has_value());
+        BOOST_TEST(facts.rest_unreadable == (*text != '\0'));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answers_state_whether_the_request_has_run)
 {
     const auto read = adapter::platform_dialect().read_answer;
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -56,7 +56,11 @@
     return {.request_id = to_view(head["X-Request-Id"]),
             .is_signed = !head["X-Signature"].empty(),
             .not_run = head.find("X-Not-Run") != head.end(),
-            .idle_timeout = {}};
+            .idle_timeout = {},
+            .leaving = head["X-Leaving"] == "1",
+            .rest = head.find("X-Rest") == head.end()
+                        ? std::nullopt
+                        : std::optional<core::duration>{std::chrono::seconds{2}}};
 }
 
 constexpr relay::dialect plain_dialect{.read_request = read_request,
--- a/tests/relay/stream_relay_test.cpp
+++ b/tests/relay/stream_relay_test.cpp
@@ -180,6 +180,26 @@
     BOOST_TEST(fixture.received().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_leaving_instance_takes_no_call_that_its_end_could_cut)
+{
+    const auto whole = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_answer(request->id, "hello"));
+        }
+    };
+    relay_fixture fixture{{whole}, route_of(route_kind::non_idempotent)};
+    fixture.on_loop([](relay::entry& entry) {
+        entry.leave([] {});
+        entry.left_at -= 5s; // 2.75 s before its end, of which a call may take 1.5 s
+    });
+    BOOST_TEST(contains(fixture.ask(request_bytes("1")), "200"));
+    fixture.on_loop([](relay::entry& entry) { entry.left_at -= 1500ms; });
+    const auto late = fixture.ask(request_bytes("2"));
+    BOOST_TEST(contains(late, "503"));
+    BOOST_TEST(contains(late, "Retry-After"));
+    BOOST_TEST(fixture.received().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_instance_answers_a_request_that_comes_some_time_after_its_connection)
 {
     const auto unused = [](endpoint_connection& connection) { connection.wait_for_close(); };
