Settle lists of endpoints, and bound what the fleet tells itself

Cause, size: whole reports named all members (5 KB) twice a second to everyone; a change of one endpoint or of the configuration made all instances fetch the whole catalog from the same peer; the hub's allowed silence was fixed at 400 ms while intervals of reports grow to 368 ms; a hub sent an empty datagram before a large report.

Whole reports in 10 ms for each member, four members named in turn, a full list only as the answer to a question; members not heard get a short report once a second. Copies leave out what the asker has; the hub of a domain fetches first and its neighbours from each other (copy_source). Hub silence grows with the interval (report_pace).

--- a/include/hibiscusfall/catalog/endpoint_list.hpp
+++ b/include/hibiscusfall/catalog/endpoint_list.hpp
@@ -28,18 +28,19 @@
 };
 
 /// @brief The registered endpoints, kept up from reads of the store.
-/// @remarks Entries that vanish while the store is in trouble are kept for a short time: they may have lapsed
-/// there and are written again by an endpoint that lives.
+/// @remarks Entries that vanish during an outage of the store are kept until they have to be back: they may
+/// have lapsed there and are written again by an endpoint that lives.
 struct endpoint_list {
     std::map<std::string, endpoint> entries;      ///< By key.
     std::uint64_t revision = 0;                   ///< Of the store, up to which the entries are known.
     std::set<std::string> unreadable;             ///< Keys whose entry named no endpoint, logged once each.
     std::map<std::string, core::instant> lapsing; ///< Vanished entries and when they are taken as gone.
+    std::uint64_t before_lapse = 0; ///< The revision before the first of the lapsing entries vanished.
 };
 
-/// @brief How long an entry that vanished during or just after trouble of the store stays in use.
-/// A live endpoint writes its entry again within two seconds of the store's return.
-inline constexpr core::duration lapse_grace = std::chrono::milliseconds{2200};
+/// @brief The revision up to which the list tells what the store held. Lower than @c revision while entries
+/// are kept that the store holds no more, so that a peer that dropped them counts as newer.
+[[nodiscard]] std::uint64_t settled_revision(const endpoint_list& list) noexcept;
 
 /// @brief One change of an entry; no endpoint means that the entry vanished or names none.
 struct entry_change {
@@ -49,19 +50,19 @@
 };
 
 /// @brief Takes changes over.
-/// @param store_calm Whether the store answered without trouble lately.
+/// @param settle_at Until when entries that vanish are kept, see @c entries_settle_at.
 /// @returns Whether anything but the revision changed.
 bool apply(endpoint_list& list,
            const std::vector<entry_change>& changes,
            std::uint64_t revision,
-           bool store_calm,
+           core::instant settle_at,
            core::instant now);
 
 /// @brief Takes a complete listing over.
 bool replace(endpoint_list& list,
              const std::vector<entry_change>& all,
              std::uint64_t revision,
-             bool store_calm,
+             core::instant settle_at,
              core::instant now);
 
 /// @brief Drops entries whose time to return is over.
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -41,7 +41,7 @@
 
 /// @brief What an instance tells the others, as one datagram.
 struct load_report {
-    std::uint32_t format = 1;
+    std::uint32_t format = 2;
     std::string instance;
     std::uint64_t incarnation = 0; ///< Unix microseconds of its start.
     std::uint64_t sequence = 0;
@@ -57,8 +57,10 @@
     std::vector<endpoint_totals> endpoints{};
     std::vector<team_totals> teams{};
     std::vector<part_sent> parts{};
-    std::vector<std::string> members{}; ///< Addresses of instances that the sender hears.
-    double capacity = 1;                ///< Part of a core that the sender has.
+    std::vector<std::string>
+        members{};       ///< Addresses of some instances that the sender hears; all in a welcome.
+    double capacity = 1; ///< Part of a core that the sender has.
+    std::vector<dispatch::endpoint_tag> departures{}; ///< Endpoints that said that they leave.
     MSGPACK_DEFINE(format,
                    instance,
                    incarnation,
@@ -75,10 +77,11 @@
                    teams,
                    parts,
                    members,
-                   capacity)
+                   capacity,
+                   departures)
 };
 
-inline constexpr std::uint32_t report_format = 1;
+inline constexpr std::uint32_t report_format = 2;
 
 /// @brief Unpacks bytes from another process. An entry takes a byte at least, so no length beyond that of the
 /// bytes is believed.
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -27,7 +27,7 @@
 
 /// @brief How the exchange reads and takes over what the store says; set by its owner.
 struct exchange_ports {
-    std::function<catalog_copy()> copy;
+    std::function<catalog_copy(const known_catalog&)> copy; ///< What the asker does not know.
     std::function<void(const catalog_copy&)> take;
     std::function<std::uint64_t()> table_version;
     std::function<std::uint64_t()> list_revision;
@@ -89,7 +89,11 @@
     using udp = relay::asio::ip::udp;
 
     void tick(core::instant now);
+    void ask_seeds(core::instant now);
+    void welcome(const core::address& newcomer, core::instant now);
+    [[nodiscard]] load_report head_of_report(core::instant now) const;
     load_report make_report(core::instant now, bool whole);
+    void add_some_members(load_report& report, core::instant now);
     void add_totals(load_report& report, bool whole, core::instant now);
     void add_work(load_report& report, bool whole);
     void send(std::string& datagram, core::instant now);
@@ -101,8 +105,10 @@
     void take(const load_report& report, core::instant now);
     void choose_readers(core::instant now);
     void ask_for_copy(core::instant now);
+    relay::asio::awaitable<void> serve_copy(relay::asio::ip::tcp::socket asked);
     relay::asio::awaitable<void> receive();
     relay::asio::awaitable<void> serve_copies();
+    void close_after_limit(const std::shared_ptr<relay::asio::ip::tcp::socket>& connection);
     relay::asio::awaitable<void> fetch_copy(core::address from);
 
     relay::entry& entry;
@@ -115,6 +121,10 @@
     std::uint64_t sequence = 0;
     core::instant last_sent{};
     core::instant last_whole{};
+    core::instant last_hello{};
+    core::instant started{};
+    core::instant last_asked{};
+    core::address last_named{}; ///< The last member that a whole report named.
     struct told_totals {
         std::uint64_t sent = 0;
         std::uint32_t running = 0;
@@ -129,6 +139,7 @@
     core::address own_hub{}; ///< Not set while this instance is the hub, or its domain needs none.
     std::array<char, 65536> datagram{};
     bool fetching = false;
+    bool is_hub = false; ///< Whether this instance is the hub of its domain.
     core::instant behind_since = core::instant::max();
     bool reading = true;
     exchange_counters counted;
--- a/src/catalog/endpoint_list.cpp
+++ b/src/catalog/endpoint_list.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-bool apply_one(endpoint_list& list, const entry_change& change, bool store_calm, core::instant now)
+bool apply_one(endpoint_list& list, const entry_change& change, core::instant settle_at, core::instant now)
 {
     if (change.now) {
         list.lapsing.erase(change.key);
@@ -25,8 +25,11 @@
         return false;
     }
     // An endpoint that announced its end is not expected back.
-    if (change.removed && !store_calm && !known->second.draining) {
-        list.lapsing.try_emplace(change.key, now + lapse_grace);
+    if (change.removed && settle_at > now && !known->second.draining) {
+        if (list.lapsing.empty()) {
+            list.before_lapse = list.revision;
+        }
+        list.lapsing.try_emplace(change.key, settle_at);
         return false;
     }
     list.entries.erase(known);
@@ -36,10 +39,15 @@
 
 } // namespace
 
+std::uint64_t settled_revision(const endpoint_list& list) noexcept
+{
+    return list.lapsing.empty() ? list.revision : list.before_lapse;
+}
+
 bool apply(endpoint_list& list,
            const std::vector<entry_change>& changes,
            std::uint64_t revision,
-           bool store_calm,
+           core::instant settle_at,
            core::instant now)
 {
     if (revision < list.revision) {
@@ -47,7 +55,7 @@
     }
     bool changed = false;
     for (const auto& change : changes) {
-        changed = apply_one(list, change, store_calm, now) || changed;
+        changed = apply_one(list, change, settle_at, now) || changed;
     }
     list.revision = revision;
     return changed;
@@ -56,7 +64,7 @@
 bool replace(endpoint_list& list,
              const std::vector<entry_change>& all,
              std::uint64_t revision,
-             bool store_calm,
+             core::instant settle_at,
              core::instant now)
 {
     if (revision < list.revision) {
@@ -66,7 +74,7 @@
     bool changed = false;
     for (const auto& change : all) {
         present.insert(change.key);
-        changed = apply_one(list, change, store_calm, now) || changed;
+        changed = apply_one(list, change, settle_at, now) || changed;
     }
     std::vector<entry_change> missing;
     for (const auto& [key, entry] : list.entries) {
@@ -75,7 +83,7 @@
         }
     }
     for (const auto& change : missing) {
-        changed = apply_one(list, change, store_calm, now) || changed;
+        changed = apply_one(list, change, settle_at, now) || changed;
     }
     list.revision = revision;
     return changed;
--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -2,6 +2,8 @@
 
 #include "exchange_limits.hpp"
 
+#include "hibiscusfall/peers/copy_source.hpp"
+#include "hibiscusfall/peers/report_pace.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -14,7 +16,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
+#include <memory>
 
 namespace hibiscusfall::peers
 {
@@ -30,18 +32,10 @@
 /// Time in which an instance hears of a new version from the store itself.
 constexpr core::duration behind_limit = milliseconds{250};
 constexpr core::duration copy_limit = milliseconds{1500};
+/// Intervals of reports in which the own domain's hub fetches a change and tells of it.
+constexpr int local_wait_intervals = 3;
 constexpr std::uint64_t largest_copy = 32U << 20U;
 
-asio::awaitable<void> send_copy(tcp::socket to, std::string bytes)
-{
-    std::uint64_t size = bytes.size();
-    std::array<char, sizeof size> head{};
-    std::memcpy(head.data(), &size, sizeof size);
-    error_code error;
-    const std::array<asio::const_buffer, 2> pieces{asio::buffer(head), asio::buffer(bytes)};
-    co_await asio::async_write(to, pieces, asio::redirect_error(asio::use_awaitable, error));
-}
-
 } // namespace
 
 void peer_exchange::ask_for_copy(core::instant now)
@@ -53,24 +47,34 @@
     const auto revision = this->ports.list_revision();
     const auto digest = this->ports.list_digest();
     const bool reads_well = this->reading && !this->ports.store_troubled();
-    const core::address* best = nullptr;
-    std::uint64_t newest = 0;
+    std::vector<copy_candidate> ahead;
+    std::vector<const core::address*> addresses;
     for (const auto& [address, known] : this->members) {
         const bool newer_list = known.list_revision > revision && known.list_digest != digest;
-        const bool ahead = known.table_version > version || (newer_list && !reads_well);
-        if (ahead && known.heard + member_silence > now && known.list_revision >= newest) {
-            newest = known.list_revision;
-            best = &address;
+        const bool newer = known.table_version > version || (newer_list && !reads_well);
+        if (newer && known.heard + member_silence > now) {
+            ahead.push_back({.name = known.name,
+                             .list_revision = known.list_revision,
+                             .own_domain = known.domain == this->entry.options.domain.view()});
+            addresses.push_back(&address);
         }
     }
-    if (best == nullptr) {
+    if (ahead.empty()) {
         this->behind_since = core::instant::max();
         return;
     }
     this->behind_since = std::min(this->behind_since, now);
-    if (now - this->behind_since < (reads_well ? behind_limit : core::duration::zero())) {
+    const auto behind = core::elapsed(this->behind_since, now);
+    const auto source =
+        choose_source({.name = this->entry.options.instance.view(),
+                       .is_hub = this->is_hub,
+                       .behind = behind,
+                       .local_wait = report_interval(this->members.size()) * local_wait_intervals},
+                      ahead);
+    if (!source || behind < (reads_well ? behind_limit : core::duration::zero())) {
         return;
     }
+    const auto* best = addresses[*source];
     this->behind_since = core::instant::max();
     this->fetching = true;
     asio::co_spawn(this->entry.loop.context(), this->fetch_copy(*best), asio::detached);
@@ -89,30 +93,55 @@
             co_await this->entry.loop.sleep(least_interval);
             continue;
         }
-        msgpack::sbuffer buffer;
-        msgpack::pack(buffer, this->ports.copy());
-        asio::co_spawn(this->entry.loop.context(),
-                       send_copy(std::move(asked), std::string{buffer.data(), buffer.size()}),
-                       asio::detached);
+        asio::co_spawn(this->entry.loop.context(), this->serve_copy(std::move(asked)), asio::detached);
     }
 }
 
-asio::awaitable<void> peer_exchange::fetch_copy(core::address from)
+asio::awaitable<void> peer_exchange::serve_copy(tcp::socket asked)
+{
+    const auto connection = std::make_shared<tcp::socket>(std::move(asked));
+    this->close_after_limit(connection);
+    error_code error;
+    known_catalog known;
+    co_await asio::async_read(
+        *connection, asio::buffer(&known, sizeof known), asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        co_return; // the asker left; it logs why
+    }
+    msgpack::sbuffer buffer;
+    msgpack::pack(buffer, this->ports.copy(known));
+    const std::uint64_t size = buffer.size();
+    const std::array<asio::const_buffer, 2> pieces{asio::buffer(&size, sizeof size),
+                                                   asio::buffer(buffer.data(), buffer.size())};
+    co_await asio::async_write(*connection, pieces, asio::redirect_error(asio::use_awaitable, error));
+}
+
+void peer_exchange::close_after_limit(const std::shared_ptr<tcp::socket>& connection)
 {
-    auto connection = std::make_shared<tcp::socket>(this->entry.loop.context());
     this->entry.loop.once(copy_limit, [connection](core::instant) {
         error_code ignored;
         connection->close(ignored);
     });
+}
+
+asio::awaitable<void> peer_exchange::fetch_copy(core::address from)
+{
+    auto connection = std::make_shared<tcp::socket>(this->entry.loop.context());
+    this->close_after_limit(connection);
     error_code error;
     std::uint64_t size = 0;
-    std::array<char, sizeof size> head{};
+    const known_catalog known{.table_version = this->ports.table_version(),
+                              .list_digest = this->ports.list_digest()};
     const tcp::endpoint where{asio::ip::make_address_v4(from.host), from.port};
     co_await connection->async_connect(where, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        co_await asio::async_write(*connection,
+                                   asio::buffer(&known, sizeof known),
+                                   asio::redirect_error(asio::use_awaitable, error));
+    }
     if (!error) {
         co_await asio::async_read(
-            *connection, asio::buffer(head), asio::redirect_error(asio::use_awaitable, error));
-        std::memcpy(&size, head.data(), sizeof size);
+            *connection, asio::buffer(&size, sizeof size), asio::redirect_error(asio::use_awaitable, error));
     }
     std::string bytes;
     if (!error && size <= largest_copy) {
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -136,6 +136,9 @@
     for (const auto& told : report.teams) {
         take_team(book, peer, told);
     }
+    for (const auto endpoint : report.departures) {
+        dispatch::note_departure(book.leaving, endpoint, now);
+    }
     for (const auto& part : report.parts) {
         if (const auto* state = dispatch::find(book, part.endpoint)) {
             dispatch::note_part(book.parts, part.part, part.endpoint, state->model.sent_total, now);
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "exchange_limits.hpp"
 
 #include "hibiscusfall/peers/domain_hubs.hpp"
+#include "hibiscusfall/peers/report_pace.hpp"
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
@@ -15,6 +16,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace hibiscusfall::peers
 {
@@ -27,18 +29,11 @@
 using error_code = boost::system::error_code;
 using std::chrono::milliseconds;
 
-/// Added to the interval for each member, so that the fleet's datagrams grow with its size and not its
-/// square.
-constexpr core::duration interval_for_member = milliseconds{1};
-/// An instance that has nothing to tell says at least this often that it lives.
-constexpr core::duration idle_interval = milliseconds{100};
-constexpr core::duration whole_interval = milliseconds{500};
 /// A member that was not heard for this long is forgotten.
 constexpr core::duration member_memory = std::chrono::seconds{60};
 /// Who reads the store is looked at this often.
 constexpr core::duration reader_interval = milliseconds{100};
-/// An own hub that passed nothing on for this long is replaced, and tried again after a while.
-constexpr core::duration own_hub_silence = milliseconds{400};
+/// An own hub that passed nothing on is tried again after this.
 constexpr core::duration own_hub_rest = std::chrono::seconds{3};
 /// Instances of a domain up to which each tells its neighbours itself: fewer datagrams than through a hub.
 constexpr std::size_t most_direct = 4;
@@ -46,9 +41,19 @@
 constexpr std::size_t most_batch_bytes = 8000;
 /// A slowed engine is told again after this, as others forget it after 400 ms.
 constexpr core::duration slowness_interval = milliseconds{150};
-/// First byte of a datagram: whether its receiver passes it on to the instances of its domain.
+/// First byte of a datagram: whether its receiver passes it on to the instances of its domain, or answers
+/// with all the members that it knows.
 constexpr char for_one = '1';
 constexpr char for_its_domain = 'D';
+constexpr char asks_for_members = 'M';
+/// After its start an instance asks the seeds for members for this long.
+constexpr core::duration asking_time = std::chrono::seconds{5};
+/// It asks again after this, and then after ever longer times.
+constexpr core::duration first_asking = milliseconds{60};
+/// Members that a whole report names, in turn, so that views which differ meet again.
+constexpr std::size_t named_members = 4;
+/// Members that are not heard, or not yet, are told this often that this instance lives.
+constexpr core::duration hello_interval = milliseconds{1000};
 constexpr std::size_t most_parts = 200;
 
 /// Stands for an age that is not known.
@@ -59,11 +64,6 @@
     return {asio::ip::make_address_v4(at.host), at.port};
 }
 
-core::duration interval(std::size_t members)
-{
-    return least_interval + interval_for_member * static_cast<int>(members);
-}
-
 /// The instances of one failure domain, and where each of them takes datagrams.
 struct known_domain {
     std::vector<hub_candidate> instances;
@@ -116,11 +116,13 @@
     asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
     asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
     this->entry.loop.every(least_interval, [this](core::instant now) {
-        if (!this->batch.empty() && now - this->batch_begun >= interval(this->members.size()) / 2) {
+        if (!this->batch.empty() && now - this->batch_begun >= report_interval(this->members.size()) / 2) {
             this->flush_batch();
         }
         this->tick(now);
     });
+    this->started = relay::event_loop::now();
+    this->ask_seeds(this->started);
     this->ports.read_store(false);
     this->entry.loop.once(first_choice, [this](core::instant first) {
         this->choose_readers(first);
@@ -136,15 +138,33 @@
     return static_cast<std::uint32_t>(live) + 1;
 }
 
+void peer_exchange::ask_seeds(core::instant now)
+{
+    this->last_asked = now;
+    const auto question = asks_for_members + encode(this->head_of_report(now));
+    for (const auto& seed : this->options.seeds) {
+        const core::address member{.host = seed.host, .port = this->options.inner.port};
+        if (member != this->options.inner) {
+            this->send_to(member, question);
+        }
+    }
+}
+
 void peer_exchange::tick(core::instant now)
 {
     this->ask_for_copy(now);
-    if (now - this->last_sent < interval(this->members.size())) {
+    const auto age = core::elapsed(this->started, now);
+    // All start at once on the first day: the seeds learn of the others meanwhile.
+    if (age < asking_time && now - this->last_asked >= std::max(first_asking, age / 2)) {
+        this->ask_seeds(now);
+    }
+    if (now - this->last_sent < report_interval(this->members.size())) {
         return;
     }
-    const bool whole = now - this->last_whole >= whole_interval;
+    const bool whole = now - this->last_whole >= whole_interval(this->members.size());
     auto report = this->make_report(now, whole);
-    const bool news = !report.endpoints.empty() || !report.parts.empty() || !report.teams.empty();
+    const bool news = !report.departures.empty() || !report.endpoints.empty() || !report.parts.empty() ||
+                      !report.teams.empty();
     if (!news && now - this->last_sent < idle_interval) {
         --this->sequence;
         return;
@@ -159,30 +179,57 @@
 
 load_report peer_exchange::make_report(core::instant now, bool whole)
 {
-    load_report report{.instance = this->entry.options.instance.str(),
-                       .incarnation = this->incarnation,
-                       .sequence = ++this->sequence,
-                       .domain = this->entry.options.domain.str(),
-                       .address = core::to_string(this->options.inner),
-                       .table_version = this->ports.table_version(),
-                       .list_revision = this->ports.list_revision(),
-                       .list_digest = this->ports.list_digest(),
-                       .store_age_ms = to_milliseconds(this->ports.store_age(now)),
-                       .store_troubled = this->ports.store_troubled(),
-                       .leaving = this->entry.leaving,
-                       .capacity = this->options.capacity};
+    ++this->sequence;
+    auto report = this->head_of_report(now);
     this->add_totals(report, whole, now);
     this->add_work(report, whole);
     if (whole) {
-        for (const auto& [address, known] : this->members) {
-            if (known.heard + member_silence > now) {
-                report.members.push_back(core::to_string(address));
-            }
-        }
+        this->add_some_members(report, now);
     }
     return report;
 }
 
+load_report peer_exchange::head_of_report(core::instant now) const
+{
+    return {.instance = this->entry.options.instance.str(),
+            .incarnation = this->incarnation,
+            .sequence = this->sequence,
+            .domain = this->entry.options.domain.str(),
+            .address = core::to_string(this->options.inner),
+            .table_version = this->ports.table_version(),
+            .list_revision = this->ports.list_revision(),
+            .list_digest = this->ports.list_digest(),
+            .store_age_ms = to_milliseconds(this->ports.store_age(now)),
+            .store_troubled = this->ports.store_troubled(),
+            .leaving = this->entry.leaving,
+            .capacity = this->options.capacity};
+}
+
+void peer_exchange::add_some_members(load_report& report, core::instant now)
+{
+    auto next = this->members.upper_bound(this->last_named);
+    for (std::size_t looked = 0; looked < this->members.size() && report.members.size() < named_members;
+         ++looked) {
+        next = next == this->members.end() ? this->members.begin() : next;
+        if (next->second.heard + member_silence > now) {
+            report.members.push_back(core::to_string(next->first));
+            this->last_named = next->first;
+        }
+        ++next;
+    }
+}
+
+void peer_exchange::welcome(const core::address& newcomer, core::instant now)
+{
+    auto report = this->head_of_report(now);
+    for (const auto& [address, known] : this->members) {
+        if (known.heard + member_silence > now && address != newcomer) {
+            report.members.push_back(core::to_string(address));
+        }
+    }
+    this->send_to(newcomer, for_one + encode(report));
+}
+
 void peer_exchange::add_totals(load_report& report, bool whole, core::instant now)
 {
     for (const auto& state : this->entry.book.endpoints) {
@@ -227,6 +274,13 @@
         this->last_parts.erase(this->last_parts.begin(), this->last_parts.end() - most_parts);
     }
     report.parts.insert(report.parts.end(), this->last_parts.begin(), this->last_parts.end());
+    report.departures = std::exchange(work.departures, {});
+    if (whole) {
+        report.departures.clear();
+        for (const auto& [endpoint, at] : this->entry.book.leaving.announced) {
+            report.departures.push_back(endpoint);
+        }
+    }
 }
 
 peer_exchange::domain_hubs peer_exchange::choose_hubs(core::instant now) const
@@ -279,7 +333,7 @@
         return;
     }
     auto& used = this->members[chosen];
-    if (now - std::max(used.hub_since, used.passed_on) > own_hub_silence) {
+    if (now - std::max(used.hub_since, used.passed_on) > own_hub_silence(this->members.size())) {
         used.silent_until = now + own_hub_rest;
     }
 }
@@ -305,6 +359,9 @@
 
 void peer_exchange::flush_batch()
 {
+    if (this->batch.empty()) {
+        return;
+    }
     const auto now = relay::event_loop::now();
     for (const auto& [address, known] : this->members) {
         if (known.domain == this->entry.options.domain.view() && known.heard + member_silence > now) {
@@ -319,10 +376,14 @@
     const auto hubs = this->choose_hubs(now);
     const auto own_domain = this->entry.options.domain.view();
     const auto own = hubs.find(own_domain);
+    this->is_hub = own == hubs.end() || *own->second == this->options.inner;
     this->watch_own_hub(own == hubs.end() ? nullptr : own->second, now);
-    if (own != hubs.end() && *own->second == this->options.inner) {
+    if (own != hubs.end() && this->is_hub) {
         this->pass_on(std::string_view{bytes}.substr(1));
     }
+    const bool greeting = now - this->last_hello >= hello_interval;
+    const auto hello = greeting ? for_one + encode(this->head_of_report(now)) : std::string{};
+    this->last_hello = greeting ? now : this->last_hello;
     for (auto place = this->members.begin(); place != this->members.end();) {
         const auto& [address, known] = *place;
         const auto last = std::max(known.heard, known.added);
@@ -330,15 +391,16 @@
             place = this->members.erase(place);
             continue;
         }
-        // A silent member may be back behind a cut: it is told with the whole reports, like one not heard
-        // yet.
+        // A silent member may be back behind a cut: it is told now and then, like one not heard yet.
         const bool silent = known.name.empty() || last + member_silence < now;
         const auto hub = hubs.find(known.domain);
         const bool has_hub = !silent && hub != hubs.end();
         const bool is_hub = has_hub && *hub->second == address;
-        if (is_hub || (!has_hub && (!silent || this->last_whole == now))) {
+        if (is_hub || (!has_hub && !silent)) {
             bytes.front() = is_hub ? for_its_domain : for_one;
             this->send_to(address, bytes);
+        } else if (silent && greeting) {
+            this->send_to(address, hello);
         }
         ++place;
     }
@@ -428,6 +490,9 @@
         if (sender != this->members.end()) {
             sender->second.passed_on = now;
         }
+        if (this->datagram.front() == asks_for_members && !read.empty() && !unreadable) {
+            this->welcome({.host = from.address().to_string(), .port = from.port()}, now);
+        }
         if (this->datagram.front() == for_its_domain && !unreadable) {
             this->pass_on(reports);
         }
--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -210,4 +210,40 @@
     BOOST_TEST(other.on_loop(digest) == reader.on_loop(digest));
 }
 
+BOOST_AUTO_TEST_CASE(after_an_outage_of_its_own_an_instance_learns_from_a_calm_one_which_endpoint_left)
+{
+    platform_store calm;
+    platform_store refusing;
+    for (auto* store : {&calm, &refusing}) {
+        store->put("servers/i-1", entry());
+        store->put("servers/i-2", entry());
+    }
+    running_follower reader{calm};
+    running_follower other{refusing};
+    const auto knows = [](running_follower& each, std::size_t count) {
+        return each.eventually([&] { return each.endpoints().entries.size() == count; });
+    };
+    BOOST_TEST(knows(reader, 2));
+    BOOST_TEST(knows(other, 2));
+    refusing.set_trouble(platform_store::trouble::busy);
+    std::this_thread::sleep_for(catalog::least_outage + 900ms);
+    refusing.set_trouble(platform_store::trouble::none);
+    BOOST_TEST(
+        other.eventually([&] { return !other.on_loop([](auto& each) { return each.store_troubled(); }); }));
+    for (auto* store : {&calm, &refusing}) {
+        store->remove("servers/i-1");
+    }
+    BOOST_TEST(knows(reader, 1));
+    std::this_thread::sleep_for(600ms); // the other one has read the removal and keeps the entry
+    BOOST_TEST(other.endpoints().entries.size() == 2U);
+    const auto revision = [](auto& each) { return each.list_revision(); };
+    BOOST_TEST(other.on_loop(revision) < reader.on_loop(revision));
+    const auto copy = reader.on_loop([](auto& each) { return each.copy(); });
+    other.on_loop([&](auto& each) {
+        each.take(copy);
+        return 0;
+    });
+    BOOST_TEST(other.endpoints().entries.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/peers/copy_source_test.cpp
@@ -0,0 +1,52 @@
+#include "hibiscusfall/peers/copy_source.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+using peers::choose_source;
+using peers::copy_candidate;
+
+BOOST_AUTO_TEST_SUITE(copy_source_test)
+
+BOOST_AUTO_TEST_CASE(only_the_hub_fetches_from_another_domain_at_first)
+{
+    const std::vector<copy_candidate> ahead{{.name = "reader", .list_revision = 7}};
+    BOOST_TEST(choose_source({.name = "hub", .is_hub = true, .local_wait = 300ms}, ahead).has_value());
+    BOOST_TEST(!choose_source({.name = "a", .behind = 100ms, .local_wait = 300ms}, ahead).has_value());
+    BOOST_TEST(choose_source({.name = "a", .behind = 300ms, .local_wait = 300ms}, ahead).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_neighbour_goes_before_a_newer_instance_far_away)
+{
+    const std::vector<copy_candidate> ahead{{.name = "reader", .list_revision = 8},
+                                            {.name = "hub", .list_revision = 7, .own_domain = true}};
+    BOOST_TEST(choose_source({.name = "a", .behind = 1s, .local_wait = 300ms}, ahead).value() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(instances_spread_over_the_sources)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < 50; ++i) {
+        names.push_back("entry-" + std::to_string(i));
+    }
+    std::vector<copy_candidate> ahead;
+    for (int i = 0; i < 10; ++i) {
+        ahead.push_back({.name = names[static_cast<std::size_t>(i)], .list_revision = 7, .own_domain = true});
+    }
+    std::map<std::size_t, int> asked;
+    for (const auto& name : names) {
+        ++asked[choose_source({.name = name}, ahead).value()];
+    }
+    const auto most = std::max_element(
+        asked.begin(), asked.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    BOOST_TEST(most->second <= 15);
+    BOOST_TEST(asked.size() >= 7U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peers/load_report_test.cpp
+++ b/tests/peers/load_report_test.cpp
@@ -52,12 +52,14 @@
     auto original = report(3, 9, 100, 2);
     original.parts = {{.part = 77, .endpoint = 9}};
     original.members = {"10.0.0.3:7400"};
+    original.departures = {9};
     const auto bytes = peers::encode(original);
     const auto read = peers::decode({bytes.data(), bytes.size()});
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read->sequence == 3U);
     BOOST_TEST(read->endpoints.front().sent == 100U);
     BOOST_TEST(read->parts.front().part == 77U);
+    BOOST_TEST(read->departures.front() == 9U);
     BOOST_TEST(read->members.front() == "10.0.0.3:7400");
 }
 
@@ -69,13 +71,25 @@
         RC_ASSERT(!read || !read->instance.empty());
     }));
     auto other = report(1, 1, 1, 1);
-    other.format = 2;
+    other.format = peers::report_format + 1;
     const auto bytes = peers::encode(other);
     BOOST_TEST(!peers::decode({bytes.data(), bytes.size()}).has_value());
     const auto cut = peers::encode(report(1, 1, 1, 1));
     BOOST_TEST(!peers::decode({cut.data(), cut.size() - 1}).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_told_a_peer_that_it_leaves_gets_nothing_here)
+{
+    dispatch::endpoint_tag tag = 0;
+    auto book = book_with(tag);
+    auto told = report(1, tag, 0, 0);
+    told.departures = {tag};
+    peers::apply(book, told, start);
+    BOOST_TEST(!dispatch::accepts_requests(book, book.endpoints.front(), start));
+    dispatch::tidy(book, start + dispatch::departure_memory);
+    BOOST_TEST(!dispatch::accepts_requests(book, book.endpoints.front(), start));
+}
+
 BOOST_AUTO_TEST_CASE(lost_doubled_and_crossed_reports_end_in_the_newest_totals)
 {
     BOOST_TEST(rc::check("the newest report that arrived decides", [] {
