Serve callers who can be on time before those who cannot any more

Change: dispatch/caller_waits tells callers who return by the time that they have left; callers whose aim has passed get a part of their team's share (0.6) and no wait at the engine.

--- a/include/hibiscusfall/dispatch/placement.hpp
+++ b/include/hibiscusfall/dispatch/placement.hpp
@@ -24,7 +24,8 @@
     team_tag team = 0;
     core::instant arrived{};
     core::instant deadline{};
-    core::duration aim{};
+    core::duration aim{};       ///< From the caller's first attempt.
+    core::duration waited{};    ///< Since the caller's first attempt, before it came here.
     core::duration pause_aim{}; ///< Longest pause of a stream that is on time; zero for none.
     bool repeatable = false;
     std::span<const endpoint_tag> excluded; ///< Endpoints that were tried already.
@@ -39,6 +40,7 @@
     std::uint32_t read_again = 0; ///< Shared tokens that the endpoint has to read though another holds them.
     std::uint32_t considered = 0; ///< Endpoints that were weighed.
     bool within_share = true;     ///< Whether the team is within its share.
+    bool overdue = false;         ///< Whether the caller's aim passed before it came here.
     core::failure reason = core::failure::none; ///< Why it was refused.
     core::duration retry_after{};               ///< When capacity is expected; zero when unknown.
 };
--- a/include/hibiscusfall/dispatch/team_shares.hpp
+++ b/include/hibiscusfall/dispatch/team_shares.hpp
@@ -49,7 +49,8 @@
 
 /// @brief Whether a team may have another request within its share. Its size does not count, so that a large
 /// request is not refused where a small one is taken.
-[[nodiscard]] bool within_share(const team_shares& shares, team_tag team);
+/// @param part Of the share.
+[[nodiscard]] bool within_share(const team_shares& shares, team_tag team, double part = 1.0);
 
 /// @brief Whether a team beyond its share may have another request all the same: what the teams were given
 /// leaves supply unused, and the team is not far ahead of the others.
--- a/include/hibiscusfall/relay/entry.hpp
+++ b/include/hibiscusfall/relay/entry.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/catalog/route_table.hpp"
+#include "hibiscusfall/dispatch/caller_waits.hpp"
 #include "hibiscusfall/dispatch/fleet_book.hpp"
 #include "hibiscusfall/dispatch/output_lengths.hpp"
 #include "hibiscusfall/dispatch/spare_control.hpp"
@@ -101,6 +102,7 @@
     dispatch::fleet_book book;
     std::map<core::service_id, dispatch::repeat_budget> budgets;
     dispatch::output_lengths lengths;
+    dispatch::caller_waits waits;
     dispatch::spare_control spare;
     std::unique_ptr<detail::link_pool> links;
     own_work work;
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -17,6 +17,10 @@
 constexpr double on_time_part = 0.85;
 /// Longest wait for the engine that a team beyond its share may cause.
 constexpr core::duration spare_wait = milliseconds{15};
+/// Longest wait for the engine that a caller whose aim has passed may cause.
+constexpr core::duration overdue_wait = milliseconds{15};
+/// Part of its team's share up to which such a caller is served like others.
+constexpr double overdue_share_part = 0.6;
 /// Wait in front of an engine that is always acceptable within a share: a few steps.
 constexpr core::duration short_wait = milliseconds{80};
 /// Milliseconds of a later first token that reading one shared token again is worth: 1,000 tokens read again
@@ -212,7 +216,12 @@
                       const scored& best,
                       core::instant now)
 {
-    decision.within_share = within_share(book.shares, request.team);
+    // Where not all can be served, those who can still be on time go before those who cannot any more: as
+    // many get an answer, and more of them in time.
+    decision.overdue =
+        request.waited > core::duration::zero() && request.waited + best.first_token > request.aim;
+    decision.within_share =
+        within_share(book.shares, request.team, decision.overdue ? overdue_share_part : 1.0);
     if (!decision.within_share) {
         if (best.wait > spare_wait || !spare_for(book.shares, request.team)) {
             // The share is that of a window: it is free again when the window has moved on.
@@ -222,7 +231,13 @@
         }
         return;
     }
-    const auto spent = core::elapsed(request.arrived, now);
+    if (decision.overdue && best.wait > overdue_wait) {
+        refuse(decision,
+               core::failure::queue_full,
+               spread(best.wait + milliseconds{200}, milliseconds{800}, request.draw));
+        return;
+    }
+    const auto spent = request.waited + core::elapsed(request.arrived, now);
     const auto limit = core::duration{
         static_cast<core::duration::rep>(on_time_part * static_cast<double>(request.aim.count()))};
     const auto acceptable = std::max(limit - spent - (best.first_token - best.wait), short_wait);
--- a/src/dispatch/team_shares.cpp
+++ b/src/dispatch/team_shares.cpp
@@ -86,13 +86,13 @@
     shares.given += tokens;
 }
 
-bool within_share(const team_shares& shares, team_tag team)
+bool within_share(const team_shares& shares, team_tag team, double part)
 {
     if (shares.level <= 0) {
         return true;
     }
     const auto found = shares.teams.find(team);
-    return found == shares.teams.end() || found->second.given_sum < shares.level;
+    return found == shares.teams.end() || found->second.given_sum < part * shares.level;
 }
 
 bool spare_for(const team_shares& shares, team_tag team)
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -26,6 +26,7 @@
     core::service_id service{};
     core::instant arrived{};
     core::instant deadline{};   ///< When the caller gives up.
+    core::duration waited{};    ///< How long the caller has waited before this attempt.
     core::instant timeout_at{}; ///< When the route's timeout ends the wait for an answer.
     bool head_sent = false;     ///< Whether the caller has got the head of an answer.
     traffic::event_scanner events{};
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -69,6 +69,7 @@
         .with("attempts", log.attempts)
         .with("weighed", log.considered)
         .with("expected_ms", log.expected.count() / 1000)
+        .with("waited_ms", state.waited.count() / 1000)
         .with("took_ms", core::elapsed(state.arrived, event_loop::now()).count() / 1000)
         .with("first_ms", state.first_event.count() / 1000)
         .with("pause_ms", state.longest_pause.count() / 1000)
@@ -184,6 +185,10 @@
         this->state.service = catalog::choose_service(route, this->draw);
         this->state.timeout_at = this->last_answer_time();
         this->team = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
+        if (this->state.facts.time_left) {
+            this->state.waited =
+                dispatch::note_caller(this->owner.waits, route.name, *this->state.facts.time_left);
+        }
         if (auto& generation = this->state.facts.generation) {
             generation->tokens_out =
                 generation->hinted_out > 0
@@ -206,6 +211,7 @@
                                           .arrived = this->state.arrived,
                                           .deadline = std::min(this->state.deadline, this->state.timeout_at),
                                           .aim = this->state.route->aim,
+                                          .waited = this->state.waited,
                                           .pause_aim = this->state.route->pause_aim,
                                           .repeatable = this->state.route->repeatable(),
                                           .excluded = this->tried,
