Begin a request in time elsewhere when the holder of its parts is busy

Cause: the best endpoint was chosen first and admission judged that one alone.

Change: placement looks for the best endpoint of all and the best one that can begin in time; within its team's share a request goes to the latter.

Test: a_request_whose_holder_is_busy_is_begun_in_time_elsewhere_rather_than_refused; on the old code it is refused.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -43,6 +43,7 @@
 constexpr core::duration no_endpoint_wait = milliseconds{500};
 constexpr double other_domain_ms = 2.0; // a round trip between failure domains
 
+/// An endpoint with what a request would cost and wait there; the lowest score is best.
 struct scored {
     const endpoint_state* state = nullptr;
     double score = std::numeric_limits<double>::max();
@@ -56,6 +57,27 @@
     return static_cast<double>(value.count()) / 1000.0;
 }
 
+core::duration part_of(core::duration whole, double part)
+{
+    return core::duration{static_cast<core::duration::rep>(part * static_cast<double>(whole.count()))};
+}
+
+/// Whether a caller cannot be on time any more, whatever happens here.
+bool is_overdue(const candidate& request, const scored& at)
+{
+    return request.waited > core::duration::zero() && request.waited + at.first_token > request.aim;
+}
+
+/// Longest wait for the engine with which a request within its team's share is taken.
+core::duration acceptable_wait(const candidate& request, const scored& at, core::instant now)
+{
+    if (is_overdue(request, at)) {
+        return overdue_wait;
+    }
+    const auto spent = request.waited + core::elapsed(request.arrived, now);
+    return std::max(part_of(request.aim, on_time_part) - spent - (at.first_token - at.wait), short_wait);
+}
+
 std::uint32_t running(const endpoint_state& state)
 {
     return state.model.own_running + state.model.others_running;
@@ -152,15 +174,18 @@
     return {.state = &state, .score = running(state) + tie_break(state, request.draw)};
 }
 
-scored best_of(const fleet_book& book,
-               const candidate& request,
-               policy how,
-               bool any_health,
-               core::instant now,
-               std::uint32_t& considered)
-{
+/// The best endpoint of all, and the best one at which the request can be begun in time. The two differ when
+/// the engines that hold a prompt's parts are busy and others are not.
+struct choice {
     scored best;
-    considered = 0;
+    scored in_time;
+    std::uint32_t considered = 0;
+};
+
+choice
+choose(const fleet_book& book, const candidate& request, policy how, bool any_health, core::instant now)
+{
+    choice result;
     const auto parts = request.generation == nullptr ? std::vector<resolved_part>{}
                                                      : resolve(book.parts, request.generation->parts);
     const auto stream_time = mean_stream_time(book, request.service);
@@ -168,16 +193,19 @@
         if (!eligible(book, state, request, any_health, now)) {
             continue;
         }
-        ++considered;
+        ++result.considered;
         scored each = how == policy::least_in_flight ? score_least(state, request)
                       : state.engine && request.generation != nullptr
                           ? score_engine(book, state, request, parts, stream_time, now)
                           : score_plain(book, state, request, now);
-        if (each.score < best.score) {
-            best = each;
+        if (each.score < result.best.score) {
+            result.best = each;
+        }
+        if (each.score < result.in_time.score && each.wait <= acceptable_wait(request, each, now)) {
+            result.in_time = each;
         }
     }
-    return best;
+    return result;
 }
 
 /// When the first endpoint that asked for a rest takes requests again; nothing when none of them rests.
@@ -199,8 +227,7 @@
 core::duration spread(core::duration earliest, core::duration over, std::uint64_t draw)
 {
     const double part = static_cast<double>((draw * 0x9E3779B97F4A7C15ULL) >> 40U) / (1U << 24U);
-    return earliest +
-           core::duration{static_cast<core::duration::rep>(part * static_cast<double>(over.count()))};
+    return earliest + part_of(over, part);
 }
 
 void refuse(placement_decision& decision, core::failure reason, core::duration retry_after)
@@ -216,12 +243,6 @@
                       const scored& best,
                       core::instant now)
 {
-    // Where not all can be served, those who can still be on time go before those who cannot any more: as
-    // many get an answer, and more of them in time.
-    decision.overdue =
-        request.waited > core::duration::zero() && request.waited + best.first_token > request.aim;
-    decision.within_share =
-        within_share(book.shares, request.team, decision.overdue ? overdue_share_part : 1.0);
     if (!decision.within_share) {
         if (best.wait > spare_wait || !spare_for(book.shares, request.team)) {
             // The share is that of a window: it is free again when the window has moved on.
@@ -231,16 +252,7 @@
         }
         return;
     }
-    if (decision.overdue && best.wait > overdue_wait) {
-        refuse(decision,
-               core::failure::queue_full,
-               spread(best.wait + milliseconds{200}, milliseconds{800}, request.draw));
-        return;
-    }
-    const auto spent = request.waited + core::elapsed(request.arrived, now);
-    const auto limit = core::duration{
-        static_cast<core::duration::rep>(on_time_part * static_cast<double>(request.aim.count()))};
-    const auto acceptable = std::max(limit - spent - (best.first_token - best.wait), short_wait);
+    const auto acceptable = acceptable_wait(request, best, now);
     if (best.wait > acceptable) {
         refuse(decision,
                core::failure::queue_full,
@@ -270,13 +282,13 @@
 
 placement_decision place(const fleet_book& book, const candidate& request, policy how, core::instant now)
 {
-    placement_decision decision;
-    auto best = best_of(book, request, how, false, now, decision.considered);
-    if (best.state == nullptr) {
+    auto found = choose(book, request, how, false, now);
+    if (found.best.state == nullptr) {
         // Better an endpoint that failed lately than a sure refusal.
-        best = best_of(book, request, how, true, now, decision.considered);
+        found = choose(book, request, how, true, now);
     }
-    if (best.state == nullptr) {
+    placement_decision decision{.considered = found.considered};
+    if (found.best.state == nullptr) {
         refuse(decision,
                core::failure::no_endpoint,
                spread(first_return(book, request, now).value_or(no_endpoint_wait),
@@ -284,6 +296,19 @@
                       request.draw));
         return decision;
     }
+    const bool admits = how == policy::engine_model;
+    const bool generates = found.best.state->engine && request.generation != nullptr;
+    auto best = found.best;
+    if (admits && generates) {
+        // Where not all can be served, those who can still be on time go before those who cannot any more: as
+        // many get an answer, and more of them in time.
+        decision.overdue = is_overdue(request, best);
+        decision.within_share =
+            within_share(book.shares, request.team, decision.overdue ? overdue_share_part : 1.0);
+        if (decision.within_share && found.in_time.state != nullptr) {
+            best = found.in_time;
+        }
+    }
     decision.placed = true;
     decision.endpoint = best.state->tag;
     decision.expected = best.first_token;
@@ -292,10 +317,10 @@
         refuse(decision, core::failure::deadline, spread(milliseconds{200}, milliseconds{500}, request.draw));
         return decision;
     }
-    if (how != policy::engine_model) {
+    if (!admits) {
         return decision;
     }
-    if (best.state->engine && request.generation != nullptr) {
+    if (generates) {
         admit_generation(decision, book, request, best, now);
     } else if (running(*best.state) >= std::max(1U, best.state->batch) * (1 + plain_queue_per_slot)) {
         refuse(decision, core::failure::queue_full, spread(best.wait / 2, milliseconds{300}, request.draw));
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -200,6 +200,24 @@
                state_of(book, "b").tag);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_whose_holder_is_busy_is_begun_in_time_elsewhere_rather_than_refused)
+{
+    auto book = book_of({{"a", "north"}, {"b", "north"}}, true);
+    const dispatch::prompt generation{
+        .parts = {{.id = 1, .tokens = 6300}, {.id = 2, .tokens = 500}}, .tokens_in = 6800, .tokens_out = 50};
+    auto& holder = state_of(book, "a");
+    dispatch::note_part(book.parts, 1, holder.tag, 0, start);
+    dispatch::note_sent(holder.model, 1, 30000, start);
+    auto request = call(start);
+    request.generation = &generation;
+    request.deadline = start + 6s;
+    request.aim = 400ms;
+    const auto decision = dispatch::place(book, request, dispatch::policy::engine_model, start);
+    BOOST_TEST(decision.placed);
+    BOOST_TEST(decision.endpoint == state_of(book, "b").tag);
+    BOOST_TEST((decision.expected < request.aim));
+}
+
 BOOST_AUTO_TEST_CASE(callers_of_engines_with_few_places_are_refused_rather_than_late)
 {
     // Streams of 2 s at 4 engines with 4 places: 8 a second, of 12 that are asked for.
