Weigh a sample of engines in large fleets, and refuse floods before it

Cause: hundreds of instances that weigh all engines by the same reports choose the same ones: the busiest of 112 engines got 2.6 to 3.6 times the mean.

Ruled out: 16 drawn engines (300 placements on the same news end at 28 of 112 engines, 30 at the fullest), 5 (16 at it).

Change: beyond 24 engines a request weighs four drawn ones and up to twelve that hold its parts. A team beyond its share with no supply left is refused first. Lines that the bounded log would leave out are not composed.

Kept for its cost: 16 engines are scored in place of 112 or 160.

--- a/include/hibiscusfall/telemetry/bounded_log.hpp
+++ b/include/hibiscusfall/telemetry/bounded_log.hpp
@@ -22,6 +22,10 @@
 /// @brief Writes what standard output takes without waiting.
 void flush_log();
 
+/// @brief Whether a further line would be written; if not, it is counted as left out. Asked before a line is
+/// composed, so that lines beyond the bounds cost nothing.
+[[nodiscard]] bool admits_line() noexcept;
+
 /// @brief Lines that were left out since the start.
 [[nodiscard]] std::size_t lines_left_out() noexcept;
 
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -1,9 +1,13 @@
 #include "hibiscusfall/dispatch/placement.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <limits>
 #include <optional>
+#include <vector>
 
 namespace hibiscusfall::dispatch
 {
@@ -41,6 +45,11 @@
 constexpr std::uint32_t plain_queue_per_slot = 3;
 /// When a service without endpoints is expected to have one: a new endpoint is listed within about a second.
 constexpr core::duration no_endpoint_wait = milliseconds{500};
+/// Endpoints up to which each request weighs all of them.
+constexpr std::size_t weighed_engines = 24;
+/// Beyond that it weighs about so many drawn ones, and so many of those that hold its parts.
+constexpr std::size_t drawn_engines = 4;
+constexpr std::size_t weighed_holders = 12;
 constexpr double other_domain_ms = 2.0; // a round trip between failure domains
 
 /// An endpoint with what a request would cost and wait there; the lowest score is best.
@@ -174,6 +183,43 @@
     return {.state = &state, .score = running(state) + tie_break(state, request.draw)};
 }
 
+std::vector<const endpoint_state*>
+eligible_endpoints(const fleet_book& book, const candidate& request, bool any_health, core::instant now)
+{
+    std::vector<const endpoint_state*> result;
+    result.reserve(book.endpoints.size());
+    for (const auto& state : book.endpoints) {
+        if (eligible(book, state, request, any_health, now)) {
+            result.push_back(&state);
+        }
+    }
+    return result;
+}
+
+/// Of the engines of a large fleet, those that one request weighs: some that hold its parts, and some drawn
+/// anew for each request. Instances that all weigh all engines by the same old reports choose the same ones.
+std::vector<const endpoint_state*> draw_sample(std::span<const endpoint_state* const> engines,
+                                               std::span<const resolved_part> parts,
+                                               std::uint64_t draw)
+{
+    std::vector<const endpoint_state*> sample;
+    for (std::uint64_t i = 0; i < drawn_engines; ++i) {
+        sample.push_back(engines[XXH64(&i, sizeof i, draw) % engines.size()]);
+    }
+    // The deepest part comes first: whoever holds it holds those before it.
+    std::vector<endpoint_tag> holders;
+    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
+        const auto count = part->holders == nullptr ? 0 : part->holders->size();
+        for (std::size_t i = 0; i < count && holders.size() < weighed_holders; ++i) {
+            holders.push_back((*part->holders)[(draw + i) % count].endpoint);
+        }
+    }
+    std::copy_if(engines.begin(), engines.end(), std::back_inserter(sample), [&](const endpoint_state* each) {
+        return std::find(holders.begin(), holders.end(), each->tag) != holders.end();
+    });
+    return sample;
+}
+
 /// The best endpoint of all, and the best one at which the request can be begun in time. The two differ when
 /// the engines that hold a prompt's parts are busy and others are not.
 struct choice {
@@ -189,10 +235,12 @@
     const auto parts = request.generation == nullptr ? std::vector<resolved_part>{}
                                                      : resolve(book.parts, request.generation->parts);
     const auto stream_time = mean_stream_time(book, request.service);
-    for (const auto& state : book.endpoints) {
-        if (!eligible(book, state, request, any_health, now)) {
-            continue;
-        }
+    auto weighed = eligible_endpoints(book, request, any_health, now);
+    if (request.generation != nullptr && how != policy::least_in_flight && weighed.size() > weighed_engines) {
+        weighed = draw_sample(weighed, parts, request.draw);
+    }
+    for (const auto* endpoint : weighed) {
+        const auto& state = *endpoint;
         ++result.considered;
         scored each = how == policy::least_in_flight ? score_least(state, request)
                       : state.engine && request.generation != nullptr
@@ -237,6 +285,12 @@
     decision.retry_after = retry_after;
 }
 
+void refuse_beyond_share(placement_decision& decision, const team_shares& shares, std::uint64_t draw)
+{
+    // The share is that of a window: it is free again when the window has moved on.
+    refuse(decision, core::failure::queue_full, spread(shares.window / 4, shares.window, draw));
+}
+
 void admit_generation(placement_decision& decision,
                       const fleet_book& book,
                       const candidate& request,
@@ -245,10 +299,7 @@
 {
     if (!decision.within_share) {
         if (best.wait > spare_wait || !spare_for(book.shares, request.team)) {
-            // The share is that of a window: it is free again when the window has moved on.
-            refuse(decision,
-                   core::failure::queue_full,
-                   spread(book.shares.window / 4, book.shares.window, request.draw));
+            refuse_beyond_share(decision, book.shares, request.draw);
         }
         return;
     }
@@ -282,6 +333,14 @@
 
 placement_decision place(const fleet_book& book, const candidate& request, policy how, core::instant now)
 {
+    const bool admits = how == policy::engine_model;
+    if (admits && request.generation != nullptr && !within_share(book.shares, request.team) &&
+        !spare_for(book.shares, request.team)) {
+        // A team that floods costs nothing but this: no engine is weighed.
+        placement_decision refused{.within_share = false};
+        refuse_beyond_share(refused, book.shares, request.draw);
+        return refused;
+    }
     auto found = choose(book, request, how, false, now);
     if (found.best.state == nullptr) {
         // Better an endpoint that failed lately than a sure refusal.
@@ -296,7 +355,6 @@
                       request.draw));
         return decision;
     }
-    const bool admits = how == policy::engine_model;
     const bool generates = found.best.state->engine && request.generation != nullptr;
     auto best = found.best;
     if (admits && generates) {
--- a/src/relay/request_run.cpp
+++ b/src/relay/request_run.cpp
@@ -3,6 +3,7 @@
 #include "attempt.hpp"
 #include "refusal.hpp"
 
+#include "hibiscusfall/telemetry/bounded_log.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <xxhash.h>
@@ -58,6 +59,9 @@
 
 void write_log(const request_state& state, const run_log& log)
 {
+    if (!telemetry::admits_line()) {
+        return;
+    }
     telemetry::log_event line{"request"};
     const auto& owner = state.owner;
     line.with("id", state.facts.id)
--- a/src/telemetry/bounded_log.cpp
+++ b/src/telemetry/bounded_log.cpp
@@ -41,6 +41,14 @@
         }
     }
 
+    [[nodiscard]] bool admits() noexcept
+    {
+        this->refill();
+        const bool room = this->allowance >= 1 && this->kept.size() < this->bounds.buffer_bytes;
+        this->dropped += room ? 0 : 1;
+        return room;
+    }
+
     [[nodiscard]] std::size_t left_out() const noexcept { return this->dropped; }
 
     /// @brief How many lines were left out since this was asked last.
@@ -112,6 +120,11 @@
     sink()->write_out();
 }
 
+bool admits_line() noexcept
+{
+    return !sink() || sink()->admits();
+}
+
 std::size_t lines_left_out() noexcept
 {
     return sink() ? sink()->left_out() : 0;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -120,6 +120,28 @@
     BOOST_TEST(result.given_by_team.at("team-1") > 0.9 * asked_by_one);
 }
 
+BOOST_AUTO_TEST_CASE(a_team_far_beyond_its_share_is_refused_without_weighing_engines)
+{
+    auto book = book_of({{"a", "north"}, {"b", "north"}}, true);
+    book.shares.tokens_per_second = 1000;
+    book.shares.step_begun = start;
+    const core::team_id flood{"flood"};
+    const auto team = dispatch::tag_of(flood);
+    dispatch::note_asked(book.shares, team, 1e6);
+    dispatch::note_given(book.shares, team, 1e6);
+    dispatch::advance(book.shares, start);
+    const dispatch::prompt generation{
+        .parts = {{.id = 1, .tokens = 500}}, .tokens_in = 500, .tokens_out = 50};
+    auto request = call(start);
+    request.generation = &generation;
+    request.team = team;
+    const auto decision = dispatch::place(book, request, dispatch::policy::engine_model, start);
+    BOOST_TEST(!decision.placed);
+    BOOST_TEST(!decision.within_share);
+    BOOST_TEST(decision.considered == 0U);
+    BOOST_TEST((decision.retry_after >= book.shares.window / 4));
+}
+
 BOOST_AUTO_TEST_CASE(a_plain_call_is_not_refused_while_a_slot_is_free)
 {
     auto book = book_of({{"a", "north"}, {"b", "north"}}, false);
--- a/tests/telemetry/bounded_log_test.cpp
+++ b/tests/telemetry/bounded_log_test.cpp
@@ -84,6 +84,18 @@
     BOOST_TEST(telemetry::lines_left_out() == 40U);
 }
 
+BOOST_AUTO_TEST_CASE(a_line_that_would_be_left_out_is_told_before_it_is_composed)
+{
+    const captured_output output;
+    telemetry::start_bounded_log(
+        "entry-1", telemetry::log_level::event, {.lines_per_second = 1, .burst_lines = 2});
+    BOOST_TEST(telemetry::admits_line());
+    telemetry::write(telemetry::log_event{"many"});
+    telemetry::write(telemetry::log_event{"many"});
+    BOOST_TEST(!telemetry::admits_line());
+    BOOST_TEST(telemetry::lines_left_out() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_output_that_takes_nothing_does_not_block)
 {
     const captured_output output;
