Wake up once for timers that are due together

Change: timers keep their phase on the steady clock (timer_service, event_loop::every); the exchange looks every 25 ms in fleets of 60 and more, whose reports are due every 70 ms or later. Batches of a hub are a struct of their own (report_batch), which sends no empty datagram.

--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -57,6 +57,7 @@
 #include "hibiscusfall/peers/domain_hubs.hpp"
 #include "hibiscusfall/peers/load_report.hpp"
 #include "hibiscusfall/peers/peer_exchange.hpp"
+#include "hibiscusfall/peers/report_batch.hpp"
 #include "hibiscusfall/peers/report_pace.hpp"
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/placement/placement.hpp"
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -3,6 +3,7 @@
 #include "hibiscusfall/core/address.hpp"
 #include "hibiscusfall/peers/catalog_copy.hpp"
 #include "hibiscusfall/peers/load_report.hpp"
+#include "hibiscusfall/peers/report_batch.hpp"
 #include "hibiscusfall/relay/entry.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -88,6 +89,7 @@
     using domain_hubs = std::map<std::string_view, const core::address*>;
     using udp = relay::asio::ip::udp;
 
+    void arm_tick();
     void tick(core::instant now);
     void ask_seeds(core::instant now);
     void welcome(const core::address& newcomer, core::instant now);
@@ -99,7 +101,7 @@
     void send(std::string& datagram, core::instant now);
     void send_to(const core::address& to, const std::string& datagram);
     void pass_on(std::string_view reports);
-    void flush_batch();
+    void send_batch(const std::string& reports);
     [[nodiscard]] domain_hubs choose_hubs(core::instant now) const;
     void watch_own_hub(const core::address* hub, core::instant now);
     void take(const load_report& report, core::instant now);
@@ -134,8 +136,7 @@
     std::unordered_map<dispatch::endpoint_tag, told_totals> told;
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> told_teams;
     std::vector<part_sent> last_parts;
-    std::string batch; ///< Reports that this instance passes on to its domain, as their hub.
-    core::instant batch_begun{};
+    report_batch batch;      ///< Reports that this instance passes on to its domain, as their hub.
     core::address own_hub{}; ///< Not set while this instance is the hub, or its domain needs none.
     std::array<char, 65536> datagram{};
     bool fetching = false;
--- a/include/hibiscusfall/peers/report_pace.hpp
+++ b/include/hibiscusfall/peers/report_pace.hpp
@@ -31,6 +31,14 @@
     return least_interval + interval_for_member * static_cast<int>(members);
 }
 
+/// @brief How often an instance looks whether a report is due. Large fleets report every 70 ms or more, and
+/// look together with the sweep of connections, so that the process wakes up once for both.
+[[nodiscard]] constexpr core::duration tick_interval(std::size_t members) noexcept
+{
+    constexpr std::size_t small_fleet = 60;
+    return members < small_fleet ? least_interval : core::duration{std::chrono::milliseconds{25}};
+}
+
 /// @brief Between two reports of all its totals.
 [[nodiscard]] constexpr core::duration whole_interval(std::size_t members) noexcept
 {
--- a/include/hibiscusfall/relay/event_loop.hpp
+++ b/include/hibiscusfall/relay/event_loop.hpp
@@ -15,6 +15,10 @@
 
 namespace asio = boost::asio;
 
+/// @brief Time until the next multiple of an interval on the steady clock: timers of equal or multiple
+/// intervals that begin there are due together, so that the process wakes up once for them.
+[[nodiscard]] core::duration until_next(core::duration interval, core::instant now) noexcept;
+
 /// @brief The one event loop of an entry process, with the timer service that its parts subscribe to.
 class event_loop
 {
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -37,8 +37,6 @@
 constexpr core::duration own_hub_rest = std::chrono::seconds{3};
 /// Instances of a domain up to which each tells its neighbours itself: fewer datagrams than through a hub.
 constexpr std::size_t most_direct = 4;
-/// A hub passes a batch on before it grows beyond this, as a lost datagram loses all of it.
-constexpr std::size_t most_batch_bytes = 8000;
 /// A slowed engine is told again after this, as others forget it after 400 ms.
 constexpr core::duration slowness_interval = milliseconds{150};
 /// First byte of a datagram: whether its receiver passes it on to the instances of its domain, or answers
@@ -115,12 +113,7 @@
     this->acceptor.listen();
     asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
     asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
-    this->entry.loop.every(least_interval, [this](core::instant now) {
-        if (!this->batch.empty() && now - this->batch_begun >= report_interval(this->members.size()) / 2) {
-            this->flush_batch();
-        }
-        this->tick(now);
-    });
+    this->arm_tick();
     this->started = relay::event_loop::now();
     this->ask_seeds(this->started);
     this->ports.read_store(false);
@@ -130,6 +123,18 @@
     });
 }
 
+void peer_exchange::arm_tick()
+{
+    const auto interval = tick_interval(this->members.size());
+    this->entry.loop.once(relay::until_next(interval, relay::event_loop::now()), [this](core::instant now) {
+        if (now - this->batch.begun >= report_interval(this->members.size()) / 2) {
+            this->send_batch(std::exchange(this->batch.reports, {}));
+        }
+        this->tick(now);
+        this->arm_tick();
+    });
+}
+
 std::uint32_t peer_exchange::live_instances(core::instant now) const
 {
     const auto live = std::count_if(this->members.begin(), this->members.end(), [now](const auto& each) {
@@ -347,28 +352,21 @@
 
 void peer_exchange::pass_on(std::string_view reports)
 {
-    if (this->batch.size() + reports.size() > most_batch_bytes) {
-        this->flush_batch();
-    }
-    if (this->batch.empty()) {
-        this->batch_begun = relay::event_loop::now();
-        this->batch += for_one;
-    }
-    this->batch += reports;
+    this->send_batch(add(this->batch, reports, relay::event_loop::now()));
 }
 
-void peer_exchange::flush_batch()
+void peer_exchange::send_batch(const std::string& reports)
 {
-    if (this->batch.empty()) {
+    if (reports.empty()) {
         return;
     }
     const auto now = relay::event_loop::now();
+    const auto bytes = for_one + reports;
     for (const auto& [address, known] : this->members) {
         if (known.domain == this->entry.options.domain.view() && known.heard + member_silence > now) {
-            this->send_to(address, this->batch);
+            this->send_to(address, bytes);
         }
     }
-    this->batch.clear();
 }
 
 void peer_exchange::send(std::string& bytes, core::instant now)
--- a/src/relay/entry.cpp
+++ b/src/relay/entry.cpp
@@ -147,9 +147,10 @@
 
 void entry::note_lag(core::instant now)
 {
-    const auto since = core::elapsed(std::exchange(this->last_sweep, now), now);
+    const auto due = this->last_sweep + until_next(sweep_interval, this->last_sweep);
+    this->last_sweep = now;
     const bool changed =
-        relay::note_lag(this->load, std::max(since - sweep_interval, core::duration::zero()), now);
+        relay::note_lag(this->load, std::max(core::elapsed(due, now), core::duration::zero()), now);
     this->book.view_delay = view_delay(this->load);
     if (!changed) {
         return;
--- a/src/relay/event_loop.cpp
+++ b/src/relay/event_loop.cpp
@@ -10,9 +10,17 @@
 namespace hibiscusfall::relay
 {
 
+core::duration until_next(core::duration interval, core::instant now) noexcept
+{
+    const auto since = std::chrono::duration_cast<core::duration>(now.time_since_epoch());
+    return interval - since % interval;
+}
+
 timing::subscription event_loop::every(core::duration interval, timing::timer_service::callback call)
 {
-    const auto id = this->timers.every(interval, now(), std::move(call));
+    const auto start = now();
+    const auto id =
+        this->timers.every(interval, start + until_next(interval, start) - interval, std::move(call));
     this->arm();
     return id;
 }
--- a/src/timing/timer_service.cpp
+++ b/src/timing/timer_service.cpp
@@ -34,7 +34,10 @@
         const auto call = node.mapped().call;
         const auto interval = node.mapped().interval;
         if (interval > core::duration::zero()) {
-            node.key() = now + interval;
+            // Keeps its phase, whatever was missed, so that timers of equal or multiple intervals stay
+            // together.
+            const auto missed = (now - node.key()) / interval;
+            node.key() += interval * (missed + 1);
             this->entries.insert(std::move(node));
         }
         call(now);
--- a/tests/timing/timer_service_test.cpp
+++ b/tests/timing/timer_service_test.cpp
@@ -49,4 +49,17 @@
     BOOST_TEST(calls == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_late_call_keeps_its_phase)
+{
+    timing::timer_service timers;
+    const core::instant start{};
+    timers.every(25ms, start, [](core::instant) {});
+    timers.every(100ms, start, [](core::instant) {});
+    timers.advance(start + 163ms);
+    BOOST_TEST((timers.next_due() == start + 175ms));
+    timers.advance(start + 180ms);
+    timers.advance(start + 201ms);
+    BOOST_TEST((timers.next_due() == start + 225ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
