--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -208,10 +208,11 @@
     }
     // The deepest part comes first: whoever holds it holds those before it.
     std::vector<endpoint_tag> holders;
-    for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
-        const auto count = part->holders == nullptr ? 0 : part->holders->size();
+    for (auto depth = parts.size(); depth > 0; --depth) {
+        const auto* known = parts[depth - 1].holders;
+        const auto count = known == nullptr ? 0 : known->size();
         for (std::size_t i = 0; i < count && holders.size() < weighed_holders; ++i) {
-            holders.push_back((*part->holders)[(draw + i) % count].endpoint);
+            holders.push_back((*known)[(draw + i) % count].endpoint);
         }
     }
     std::copy_if(engines.begin(), engines.end(), std::back_inserter(sample), [&](const endpoint_state* each) {
--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <memory>
 
 namespace hibiscusfall::peers
@@ -36,6 +37,14 @@
 constexpr int local_wait_intervals = 3;
 constexpr std::uint64_t largest_copy = 32U << 20U;
 
+constexpr auto nobody = std::numeric_limits<std::size_t>::max();
+
+/// The position of the instance to ask; @c nobody while this one should wait.
+std::size_t source_of(const copy_seeker& seeker, std::span<const copy_candidate> ahead)
+{
+    return choose_source(seeker, ahead).value_or(nobody);
+}
+
 } // namespace
 
 void peer_exchange::ask_for_copy(core::instant now)
@@ -66,15 +75,16 @@
     this->behind_since = std::min(this->behind_since, now);
     const auto behind = core::elapsed(this->behind_since, now);
     const auto source =
-        choose_source({.name = this->entry.options.instance.view(),
-                       .is_hub = this->is_hub,
-                       .behind = behind,
-                       .local_wait = report_interval(this->members.size()) * local_wait_intervals},
-                      ahead);
-    if (!source || behind < (reads_well ? behind_limit : core::duration::zero())) {
+        source_of({.name = this->entry.options.instance.view(),
+                   .is_hub = this->is_hub,
+                   .behind = behind,
+                   .local_wait = report_interval(this->members.size()) * local_wait_intervals},
+                  ahead);
+    const auto patience = reads_well ? behind_limit : core::duration::zero();
+    if (source == nobody || behind < patience) {
         return;
     }
-    const auto* best = addresses[*source];
+    const auto* best = addresses[source];
     this->behind_since = core::instant::max();
     this->fetching = true;
     asio::co_spawn(this->entry.loop.context(), this->fetch_copy(*best), asio::detached);
