Split the exchange by what it does: reports, hubs, members

Cause: peer_exchange.cpp had grown to 500 lines with three jobs. Change: own_report.cpp composes reports, exchange_hubs.cpp chooses and watches hubs, the rest stays. No line of a function changes.

--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -2,13 +2,10 @@
 
 #include "exchange_limits.hpp"
 
-#include "hibiscusfall/peers/domain_hubs.hpp"
 #include "hibiscusfall/peers/report_pace.hpp"
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
-#include <xxhash.h>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -33,12 +30,6 @@
 constexpr core::duration member_memory = std::chrono::seconds{60};
 /// Who reads the store is looked at this often.
 constexpr core::duration reader_interval = milliseconds{100};
-/// An own hub that passed nothing on is tried again after this.
-constexpr core::duration own_hub_rest = std::chrono::seconds{3};
-/// Instances of a domain up to which each tells its neighbours itself: fewer datagrams than through a hub.
-constexpr std::size_t most_direct = 4;
-/// A slowed engine is told again after this, as others forget it after 400 ms.
-constexpr core::duration slowness_interval = milliseconds{150};
 /// First byte of a datagram: whether its receiver passes it on to the instances of its domain, or answers
 /// with all the members that it knows.
 constexpr char for_one = '1';
@@ -48,39 +39,14 @@
 constexpr core::duration asking_time = std::chrono::seconds{5};
 /// It asks again after this, and then after ever longer times.
 constexpr core::duration first_asking = milliseconds{60};
-/// Members that a whole report names, in turn, so that views which differ meet again.
-constexpr std::size_t named_members = 4;
 /// Members that are not heard, or not yet, are told this often that this instance lives.
 constexpr core::duration hello_interval = milliseconds{1000};
-constexpr std::size_t most_parts = 200;
-
-/// Stands for an age that is not known.
-constexpr std::uint32_t unknown_age_ms = 3600000;
 
 udp::endpoint to_endpoint(const core::address& at)
 {
     return {asio::ip::make_address_v4(at.host), at.port};
 }
 
-/// The instances of one failure domain, and where each of them takes datagrams.
-struct known_domain {
-    std::vector<hub_candidate> instances;
-    std::vector<const core::address*> addresses;
-};
-
-/// Where the domain's hub takes datagrams; null for none.
-const core::address* hub_address(const known_domain& domain)
-{
-    const auto chosen = choose_hub(domain.instances);
-    return chosen.has_value() ? domain.addresses[*chosen] : nullptr;
-}
-
-std::uint32_t to_milliseconds(core::duration value)
-{
-    const auto count = std::chrono::duration_cast<milliseconds>(value).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, unknown_age_ms));
-}
-
 } // namespace
 
 peer_exchange::peer_exchange(relay::entry& owner, exchange_options settings, exchange_ports connections)
@@ -182,48 +148,6 @@
     this->send(bytes, now);
 }
 
-load_report peer_exchange::make_report(core::instant now, bool whole)
-{
-    ++this->sequence;
-    auto report = this->head_of_report(now);
-    this->add_totals(report, whole, now);
-    this->add_work(report, whole);
-    if (whole) {
-        this->add_some_members(report, now);
-    }
-    return report;
-}
-
-load_report peer_exchange::head_of_report(core::instant now) const
-{
-    return {.instance = this->entry.options.instance.str(),
-            .incarnation = this->incarnation,
-            .sequence = this->sequence,
-            .domain = this->entry.options.domain.str(),
-            .address = core::to_string(this->options.inner),
-            .table_version = this->ports.table_version(),
-            .list_revision = this->ports.list_revision(),
-            .list_digest = this->ports.list_digest(),
-            .store_age_ms = to_milliseconds(this->ports.store_age(now)),
-            .store_troubled = this->ports.store_troubled(),
-            .leaving = this->entry.leaving,
-            .capacity = this->options.capacity};
-}
-
-void peer_exchange::add_some_members(load_report& report, core::instant now)
-{
-    auto next = this->members.upper_bound(this->last_named);
-    for (std::size_t looked = 0; looked < this->members.size() && report.members.size() < named_members;
-         ++looked) {
-        next = next == this->members.end() ? this->members.begin() : next;
-        if (next->second.heard + member_silence > now) {
-            report.members.push_back(core::to_string(next->first));
-            this->last_named = next->first;
-        }
-        ++next;
-    }
-}
-
 void peer_exchange::welcome(const core::address& newcomer, core::instant now)
 {
     auto report = this->head_of_report(now);
@@ -235,114 +159,6 @@
     this->send_to(newcomer, for_one + encode(report));
 }
 
-void peer_exchange::add_totals(load_report& report, bool whole, core::instant now)
-{
-    for (const auto& state : this->entry.book.endpoints) {
-        const double slowness = dispatch::own_slowness(state.pace, now);
-        const auto percent = static_cast<std::uint32_t>(100.0 * slowness);
-        auto& last = this->told[state.tag];
-        const bool slowed = dispatch::is_slowed(slowness);
-        const bool pace_news =
-            (percent > 0 && slowed != dispatch::is_slowed(last.slowness_percent / 100.0)) ||
-            (slowed && now - last.at >= slowness_interval);
-        if (!whole && !pace_news && last.sent == state.own_sent_total &&
-            last.running == state.model.own_running) {
-            continue;
-        }
-        last = {.sent = state.own_sent_total,
-                .running = state.model.own_running,
-                .slowness_percent = percent > 0 ? percent : last.slowness_percent,
-                .at = now};
-        report.endpoints.push_back(
-            {.endpoint = state.tag, .sent = last.sent, .running = last.running, .slowness_percent = percent});
-    }
-}
-
-void peer_exchange::add_work(load_report& report, bool whole)
-{
-    auto& work = this->entry.work;
-    for (const auto& [team, totals] : work.teams) {
-        auto& last = this->told_teams[team];
-        if (whole || last != totals) {
-            last = totals;
-            report.teams.push_back({.team = team, .asked = totals.first, .given = totals.second});
-        }
-    }
-    // Parts go out twice, as a lost datagram would otherwise leave them unknown until their next use.
-    report.parts = std::move(this->last_parts);
-    this->last_parts.clear();
-    for (const auto& [part, endpoint] : work.parts) {
-        this->last_parts.push_back({.part = part, .endpoint = endpoint});
-    }
-    work.parts.clear();
-    if (this->last_parts.size() > most_parts) {
-        this->last_parts.erase(this->last_parts.begin(), this->last_parts.end() - most_parts);
-    }
-    report.parts.insert(report.parts.end(), this->last_parts.begin(), this->last_parts.end());
-    report.departures = std::exchange(work.departures, {});
-    if (whole) {
-        report.departures.clear();
-        for (const auto& [endpoint, at] : this->entry.book.leaving.announced) {
-            report.departures.push_back(endpoint);
-        }
-    }
-}
-
-peer_exchange::domain_hubs peer_exchange::choose_hubs(core::instant now) const
-{
-    std::map<std::string_view, known_domain> domains;
-    const auto own_domain = this->entry.options.domain.view();
-    auto& own = domains[own_domain];
-    own.instances.push_back({.name = this->entry.options.instance.view(),
-                             .capacity = this->options.capacity,
-                             .heard = now,
-                             .leaving = this->entry.leaving});
-    own.addresses.push_back(&this->options.inner);
-    for (const auto& [address, each] : this->members) {
-        if (each.name.empty() || each.heard + member_silence < now) {
-            continue;
-        }
-        auto& domain = domains[each.domain];
-        // Neighbours are heard through the own hub; whether that one works is watched by itself.
-        domain.instances.push_back({.name = each.name,
-                                    .capacity = each.capacity,
-                                    .heard = each.domain == own_domain ? now : each.heard,
-                                    .leaving = each.leaving,
-                                    .silent_hub = each.silent_until > now});
-        domain.addresses.push_back(&address);
-    }
-    domain_hubs hubs;
-    for (const auto& [name, domain] : domains) {
-        const bool direct = name == own_domain && domain.instances.size() <= most_direct;
-        if (const auto* hub = direct ? nullptr : hub_address(domain)) {
-            hubs.emplace(name, hub);
-        }
-    }
-    return hubs;
-}
-
-void peer_exchange::watch_own_hub(const core::address* hub, core::instant now)
-{
-    const bool is_self = hub == nullptr || *hub == this->options.inner;
-    const core::address chosen = is_self ? core::address{} : *hub;
-    if (chosen != this->own_hub) {
-        this->own_hub = chosen;
-        telemetry::write(telemetry::log_event{"hub"}
-                             .with("domain", this->entry.options.domain.view())
-                             .with("hub", is_self ? "none or itself" : core::to_string(chosen)));
-        if (!is_self) {
-            this->members[chosen].hub_since = now;
-        }
-    }
-    if (is_self) {
-        return;
-    }
-    auto& used = this->members[chosen];
-    if (now - std::max(used.hub_since, used.passed_on) > own_hub_silence(this->members.size())) {
-        used.silent_until = now + own_hub_rest;
-    }
-}
-
 void peer_exchange::send_to(const core::address& to, const std::string& bytes)
 {
     error_code error; // a refused datagram is made good by the next one
