Log the prompt's segments of each attempt that its endpoint cut

What was missing: the request line tells that a connection broke, not what the request held, so that a crash by content, by load and by repeats look alike in the logs. Change: one line attempt_cut for each attempt whose connection broke: attempt, whether its answer had begun, segments.

--- a/include/hibiscusfall/dispatch/fleet_state.hpp
+++ b/include/hibiscusfall/dispatch/fleet_state.hpp
@@ -74,6 +74,7 @@
 struct running_request {
     std::uint64_t ticket = 0;
     endpoint_tag endpoint = 0;
+    core::instant sent_at{};
     bool first_event_seen = false; ///< Whether its first token was received.
     core::instant first_event_at{};
     event_snapshot last_event{};
--- a/src/dispatch/fleet_state.cpp
+++ b/src/dispatch/fleet_state.cpp
@@ -116,7 +116,7 @@
 running_request
 record_dispatch(fleet_state& fleet, endpoint_tag endpoint, const prompt& prompt, core::instant now)
 {
-    const running_request request{.ticket = ++fleet.last_ticket, .endpoint = endpoint};
+    const running_request request{.ticket = ++fleet.last_ticket, .endpoint = endpoint, .sent_at = now};
     auto* state = find_endpoint(fleet, endpoint);
     if (state == nullptr) {
         return request;
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -9,6 +9,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <vector>
 
 namespace hibiscusfall::relay::detail
@@ -52,6 +55,19 @@
     std::string detail;
 };
 
+/// The ids of a prompt's segments in hexadecimal, in order, separated by commas.
+std::string format_segments(const dispatch::prompt& prompt)
+{
+    std::string text;
+    std::array<char, 24> digits{};
+    for (const auto& segment : prompt.segments) {
+        const int length =
+            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, segment.id);
+        text.append(digits.data(), static_cast<std::size_t>(length));
+    }
+    return text;
+}
+
 std::uint64_t digest(std::string_view text)
 {
     return XXH64(text.data(), text.size(), 0);
@@ -88,6 +104,26 @@
     telemetry::write(line);
 }
 
+/// Logs an attempt whose connection to the endpoint broke before the response was complete.
+void log_cut_attempt(const request_state& state,
+                     const dispatch::running_request& running,
+                     std::string_view endpoint,
+                     std::uint32_t attempt)
+{
+    if (!telemetry::admit_line()) {
+        return;
+    }
+    const auto& generation = state.metadata.generation;
+    telemetry::write(telemetry::log_event{"attempt_cut"}
+                         .with("id", state.metadata.id)
+                         .with("endpoint", endpoint)
+                         .with("attempt", attempt)
+                         .with("begun", running.first_event_seen)
+                         .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
+                         .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
+                         .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
+}
+
 /// @brief Handles one request from its arrival to the final response.
 class request_handler
 {
@@ -325,6 +361,9 @@
             auto end = co_await run_attempt(this->state, running, this->attempt_limit(decision, now));
             now = event_loop::now();
             dispatch::record_end(this->server.fleet, running, end.sign, now);
+            if (end.outcome.reason == failure::connection_broken) {
+                log_cut_attempt(this->state, running, this->log.endpoint, this->log.attempts);
+            }
             this->record_output_length(end);
             this->record_timeliness();
             if (end.outcome.state != run_state::not_run) {
