--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -5,6 +5,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <charconv>
 #include <future>
 
@@ -19,12 +20,32 @@
 using relay::to_beast;
 using relay::to_view;
 
+/// Reads segments written as ID:TOKENS with hexadecimal ids, separated by commas.
+std::optional<dispatch::prompt> read_prompt(std::string_view text)
+{
+    if (text.empty()) {
+        return std::nullopt;
+    }
+    dispatch::prompt prompt;
+    while (!text.empty()) {
+        const auto entry = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(entry.size() + 1, text.size()));
+        const auto colon = std::min(entry.find(':'), entry.size());
+        dispatch::prompt_segment segment;
+        std::from_chars(entry.data(), entry.data() + colon, segment.id, 16);
+        std::from_chars(entry.data() + colon + 1, entry.data() + entry.size(), segment.tokens);
+        prompt.prompt_tokens += segment.tokens;
+        prompt.segments.push_back(segment);
+    }
+    return prompt;
+}
+
 relay::request_metadata read_request(const relay::request_head& head)
 {
     relay::request_metadata metadata{.id = std::string{head["X-Request-Id"]},
                                      .credential = std::string{head["X-Key"]},
                                      .time_left = {},
-                                     .generation = {},
+                                     .generation = read_prompt(to_view(head["X-Prompt"])),
                                      .last_event_id = std::string{head["Last-Event-Id"]}};
     const auto left = to_view(head["X-Time-Left"]);
     int milliseconds = 0;
--- a/tests/traffic/scripted_endpoint.cpp
+++ b/tests/traffic/scripted_endpoint.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cctype>
 #include <cstdio>
+#include <future>
 
 namespace hibiscusfall::testing
 {
@@ -84,11 +85,17 @@
     this->socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+void endpoint_connection::crash_endpoint()
+{
+    this->owner.crash();
+}
+
 scripted_endpoint::scripted_endpoint(script given) : behaviour(std::move(given))
 {
     this->acceptor.open(tcp::v4());
     this->acceptor.bind({asio::ip::address_v4::loopback(), 0});
     this->acceptor.listen();
+    this->own_address = {.host = "127.0.0.1", .port = this->acceptor.local_endpoint().port()};
     this->accept_next();
     this->accept_thread = std::thread([this] { this->context.run(); });
 }
@@ -124,9 +131,19 @@
     });
 }
 
-core::address scripted_endpoint::address() const
+void scripted_endpoint::crash()
 {
-    return {.host = "127.0.0.1", .port = this->acceptor.local_endpoint().port()};
+    std::promise<void> closed;
+    asio::post(this->context, [&] {
+        boost::system::error_code ignored;
+        this->acceptor.close(ignored);
+        closed.set_value();
+    });
+    closed.get_future().wait();
+    const std::lock_guard lock(this->mutex);
+    for (auto& connection : this->connections) {
+        connection.shut();
+    }
 }
 
 std::vector<received_request> scripted_endpoint::requests() const
--- a/tests/traffic/scripted_endpoint.hpp
+++ b/tests/traffic/scripted_endpoint.hpp
@@ -58,6 +58,9 @@
 
     void shut();
 
+    /// @brief Ends the whole endpoint: every connection breaks, and new ones are refused.
+    void crash_endpoint();
+
 private:
     scripted_endpoint& owner;
     boost::asio::ip::tcp::socket socket;
@@ -76,17 +79,19 @@
     scripted_endpoint(const scripted_endpoint&) = delete;
     scripted_endpoint& operator=(const scripted_endpoint&) = delete;
 
-    [[nodiscard]] core::address address() const;
+    [[nodiscard]] core::address address() const { return this->own_address; }
     [[nodiscard]] std::vector<received_request> requests() const;
     [[nodiscard]] std::vector<std::string> cancels() const;
 
 private:
     friend class endpoint_connection;
     void accept_next();
+    void crash();
 
     script behaviour;
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor{context};
+    core::address own_address;
     mutable std::mutex mutex;
     std::list<endpoint_connection> connections;
     std::vector<std::thread> threads;
