Attribute crashes of engines to prompt segments and reject these

Cause: an instance kept an endpoint's health and nothing about what had ended it, so that each new request on the segment, and each repeat of one, was sent to the next healthy engine. A class of fault: content that crashes whoever takes it, under a policy that answers each failure by trying elsewhere. Evidence: attempt_cut lines of three sites name one segment in all crashes and in no answer that began. Change: dispatch/crash_attribution collects the requests whose answers had not begun at a confirmed crash, drops segments on which answers begin, and derives the narrowest common set of segments after two separate crashes. Instances exchange suspects, exonerated segments and causes with their reports. Requests on a cause are rejected as not run; attempts on it whose answers have not begun are cancelled; a suspect is not sent again. It works because only an answer that never began can be to blame, and because an answer on a segment anywhere clears it, so that what sound requests share is not rejected.

--- a/include/hibiscusfall/core/verdict.hpp
+++ b/include/hibiscusfall/core/verdict.hpp
@@ -38,7 +38,8 @@
     unknown_path,       ///< The caller interface has no such path.
     bad_method,         ///< The path does not support this method.
     receive_timeout,    ///< The request was not received in time.
-    answer_not_kept     ///< The request of this key ran, but its response was too large to store.
+    answer_not_kept,    ///< The request of this key ran, but its response was too large to store.
+    crashes_endpoints   ///< Crashes of endpoints are attributed to the request's prompt.
 };
 
 /// @brief The outcome of a request: whether it may have run, and the most recent failure.
--- a/include/hibiscusfall/dispatch/fleet_state.hpp
+++ b/include/hibiscusfall/dispatch/fleet_state.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/catalog/route_table.hpp"
+#include "hibiscusfall/dispatch/crash_attribution.hpp"
 #include "hibiscusfall/dispatch/departures.hpp"
 #include "hibiscusfall/dispatch/endpoint_health.hpp"
 #include "hibiscusfall/dispatch/engine_model.hpp"
@@ -60,6 +61,7 @@
     std::unordered_map<endpoint_tag, std::size_t> endpoint_index; ///< Positions in @c endpoints.
     prefix_cache cached_prefixes;
     departures announced_departures; ///< Announced in answers of endpoints.
+    crash_attribution crashes;
     team_shares shares;
     std::map<std::string, peer_state> peers;
     std::map<core::failure_domain_id, core::instant>
@@ -84,6 +86,9 @@
 [[nodiscard]] endpoint_tag tag_of(const catalog::endpoint& entry);
 [[nodiscard]] team_tag tag_of(const core::team_id& team);
 
+/// @brief A number below @p count that differs between most instances.
+[[nodiscard]] std::uint32_t rank_of(const core::instance_id& instance, std::uint32_t count);
+
 [[nodiscard]] endpoint_state* find_endpoint(fleet_state& fleet, endpoint_tag tag) noexcept;
 
 /// @brief Applies a new endpoint list.
--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -25,6 +25,7 @@
 #include "hibiscusfall/core/text_id.hpp"
 #include "hibiscusfall/core/verdict.hpp"
 #include "hibiscusfall/dispatch/caller_waits.hpp"
+#include "hibiscusfall/dispatch/crash_attribution.hpp"
 #include "hibiscusfall/dispatch/departures.hpp"
 #include "hibiscusfall/dispatch/endpoint_health.hpp"
 #include "hibiscusfall/dispatch/engine_model.hpp"
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -40,6 +40,45 @@
     MSGPACK_DEFINE(part, endpoint)
 };
 
+/// @brief A request whose engine crashed before the answer began.
+struct suspect_entry {
+    dispatch::endpoint_tag endpoint = 0;
+    dispatch::team_tag team = 0;
+    std::vector<std::uint64_t> segments{};
+    std::uint32_t age_ms = 0; ///< Time since the crash.
+    MSGPACK_DEFINE(endpoint, team, segments, age_ms)
+};
+
+/// @brief A segment on which an answer has begun although it was suspected of a crash.
+struct exonerated_segment {
+    std::uint64_t segment = 0;
+    std::uint32_t age_ms = 0; ///< Time since the answer began.
+    MSGPACK_DEFINE(segment, age_ms)
+};
+
+/// @brief Segments to which crashes are attributed.
+struct cause_entry {
+    std::vector<std::uint64_t> segments{};
+    std::vector<dispatch::team_tag> team{}; ///< The only team concerned; empty for all teams.
+    std::uint32_t crashes = 0;
+    std::uint32_t age_ms = 0;  ///< Time since the last crash.
+    std::uint32_t hold_ms = 0; ///< Time after the last crash for which requests are rejected.
+    MSGPACK_DEFINE(segments, team, crashes, age_ms, hold_ms)
+};
+
+/// @brief What one report says of crashes.
+struct crash_news {
+    std::vector<suspect_entry> suspects{};
+    std::vector<exonerated_segment> exonerated{};
+    std::vector<cause_entry>
+        causes{}; ///< One known cause in a full report; all of them in a reply to a newcomer.
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return this->suspects.empty() && this->exonerated.empty() && this->causes.empty();
+    }
+    MSGPACK_DEFINE(suspects, exonerated, causes)
+};
+
 /// @brief State that an instance reports to the others, as one datagram.
 struct load_report {
     std::uint32_t format = 2;
@@ -62,6 +101,7 @@
                                                  ///< a reply to a newcomer.
     double cpu_cores = 1;                        ///< CPU available to the sender, in cores.
     std::vector<dispatch::endpoint_tag> leaving_endpoints{}; ///< Endpoints that announced that they leave.
+    crash_news crashes{};
     MSGPACK_DEFINE(format,
                    instance,
                    incarnation,
@@ -79,7 +119,8 @@
                    prompt_parts,
                    member_addresses,
                    cpu_cores,
-                   leaving_endpoints)
+                   leaving_endpoints,
+                   crashes)
 };
 
 inline constexpr std::uint32_t report_format = 2;
@@ -90,6 +131,9 @@
 /// @throws msgpack::unpack_error
 [[nodiscard]] msgpack::object_handle unpack_bounded(std::span<const char> bytes, std::size_t& offset);
 
+/// @brief A cause of crashes as a report states it.
+[[nodiscard]] cause_entry to_entry(const dispatch::crash_cause& cause, core::instant now);
+
 /// @brief Encodes a report as the body of a datagram.
 [[nodiscard]] std::string encode(const load_report& report);
 
@@ -104,4 +148,9 @@
 /// @returns False if the report is older than what is known of that peer.
 bool apply(dispatch::fleet_state& book, const load_report& report, core::instant now);
 
+/// @brief Applies what a peer reports of crashes.
+/// @returns Segments on which this instance knows that an answer has begun, to be reported in turn.
+std::vector<std::uint64_t>
+apply(dispatch::crash_attribution& known, const crash_news& news, core::instant now);
+
 } // namespace hibiscusfall::peers
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -100,6 +100,7 @@
     void add_member_addresses(load_report& report, core::instant now);
     void add_endpoint_totals(load_report& report, bool full, core::instant now);
     void add_recent_work(load_report& report, bool full);
+    void add_crash_news(load_report& report, bool full, core::instant now);
     void send(std::string& datagram, core::instant now);
     void send_to(const core::address& to, const std::string& datagram);
     void forward(std::string_view reports);
@@ -138,8 +139,11 @@
     std::unordered_map<dispatch::endpoint_tag, reported_totals> reported_endpoints;
     std::unordered_map<dispatch::team_tag, std::pair<double, double>> reported_teams;
     std::vector<sent_prompt_part> last_prompt_parts;
-    report_batch batch;      ///< Reports that this instance forwards to its domain as the hub.
-    core::address own_hub{}; ///< Not set while this instance is the hub or its domain needs none.
+    std::vector<dispatch::crash_suspect> last_suspects;
+    std::vector<std::pair<std::uint64_t, core::instant>> last_exonerated;
+    std::size_t next_cause = 0; ///< Number of the cause that the next full report contains.
+    report_batch batch;         ///< Reports that this instance forwards to its domain as the hub.
+    core::address own_hub{};    ///< Not set while this instance is the hub or its domain needs none.
     std::array<char, 65536> datagram{};
     bool fetching = false;
     bool is_hub = false; ///< Whether this instance is the hub of its domain.
--- a/include/hibiscusfall/relay/relay_options.hpp
+++ b/include/hibiscusfall/relay/relay_options.hpp
@@ -37,6 +37,10 @@
     std::uint64_t resumed_streams = 0;
     std::uint64_t retries = 0;
     std::uint64_t retries_denied = 0;
+    std::uint64_t endpoint_crashes = 0;
+    std::uint64_t refused_crash_cause = 0; ///< Refusals of requests to which crashes are attributed.
+    std::uint64_t withdrawn_attempts = 0;  ///< Attempts cancelled for that reason before their answers began.
+    std::uint64_t retries_withheld = 0;    ///< Retries not made, as the request may have caused a crash.
     std::uint64_t mismatched_responses = 0; ///< Endpoint responses whose request id is not the one expected.
 };
 
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -29,6 +29,7 @@
 {
 class connection_pool;
 class caller_session;
+struct crash_watch;
 } // namespace detail
 
 /// @brief Open caller connections. Shared, since a session may outlive its server until the loop ends.
@@ -40,6 +41,9 @@
         teams;                                                           ///< Total cost: requested, granted.
     std::vector<std::pair<std::uint64_t, dispatch::endpoint_tag>> parts; ///< Placed since the last report.
     std::vector<dispatch::endpoint_tag> leaving_endpoints;               ///< Announced to this instance.
+    std::vector<dispatch::crash_suspect> crash_suspects;                 ///< Found since the last report.
+    std::vector<std::pair<std::uint64_t, core::instant>>
+        exonerated_segments; ///< Found since the last report, with the start of the answer.
 };
 
 /// @brief HTTP server that relays callers' requests to endpoints, on one event loop.
@@ -80,6 +84,9 @@
     /// @brief Applies changed settings: policy, budgets, shares and limits. Addresses do not change.
     void reload(const relay_options& changed);
 
+    /// @brief Puts changed causes of crashes into effect, after a peer has reported on them.
+    void apply_cause_changes();
+
     /// @brief Whether the shutdown of this instance may cut a stream that starts now.
     [[nodiscard]] bool shutdown_may_cut_streams(core::instant now) const noexcept;
 
@@ -109,6 +116,7 @@
     dispatch::caller_waits waits;
     dispatch::overcommit_control spare;
     std::unique_ptr<detail::connection_pool> connections;
+    std::unique_ptr<detail::crash_watch> crashes;
     local_activity activity;
     relay_counters counters;
     telemetry::latency_recorder first_event_latency; ///< From sending a request to its first event.
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -82,6 +82,8 @@
         return "receive-timeout";
     case failure::answer_not_kept:
         return "answer-not-kept";
+    case failure::crashes_endpoints:
+        return "crashes-endpoints";
     }
     return "internal";
 }
--- a/src/dispatch/fleet_state.cpp
+++ b/src/dispatch/fleet_state.cpp
@@ -73,6 +73,11 @@
     return digest(team.view(), 0);
 }
 
+std::uint32_t rank_of(const core::instance_id& instance, std::uint32_t count)
+{
+    return count == 0 ? 0 : digest(instance.view(), 0) % count;
+}
+
 endpoint_state* find_endpoint(fleet_state& fleet, endpoint_tag tag) noexcept
 {
     const auto found = fleet.endpoint_index.find(tag);
@@ -216,6 +221,7 @@
     }
     expire_segments(fleet.cached_prefixes, now);
     expire_departures(fleet.announced_departures, now);
+    expire(fleet.crashes, now);
     for (auto& state : fleet.endpoints) {
         decay_learned_speed(state.model);
     }
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -1,6 +1,9 @@
 #include "hibiscusfall/peers/load_report.hpp"
 
+#include "exchange_limits.hpp"
+
 #include <algorithm>
+#include <chrono>
 
 namespace hibiscusfall::peers
 {
@@ -8,9 +11,11 @@
 namespace
 {
 
+using std::chrono::milliseconds;
+
 /// Upper bound of the time that a datagram is under way; live instances send every 100 ms.
 constexpr core::duration max_datagram_delay = std::chrono::milliseconds{300};
-constexpr std::size_t max_depth = 8; // a report nests three arrays
+constexpr std::size_t max_depth = 8; // a report nests five arrays
 
 void apply_endpoint_totals(dispatch::fleet_state& book,
                            dispatch::peer_state& peer,
@@ -72,6 +77,18 @@
     return msgpack::unpack(bytes.data(), bytes.size(), offset, nullptr, nullptr, limit);
 }
 
+cause_entry to_entry(const dispatch::crash_cause& cause, core::instant now)
+{
+    cause_entry entry{.segments = cause.segments,
+                      .crashes = cause.crashes,
+                      .age_ms = to_milliseconds(core::elapsed(cause.last_crash, now)),
+                      .hold_ms = to_milliseconds(cause.hold)};
+    if (cause.team) {
+        entry.team.push_back(*cause.team);
+    }
+    return entry;
+}
+
 std::string encode(const load_report& report)
 {
     msgpack::sbuffer buffer;
@@ -112,6 +129,42 @@
     return std::move(reports.front());
 }
 
+std::vector<std::uint64_t>
+apply(dispatch::crash_attribution& known, const crash_news& news, core::instant now)
+{
+    std::vector<std::uint64_t> exonerated;
+    const auto add = [&](const std::vector<std::uint64_t>& more) {
+        exonerated.insert(exonerated.end(), more.begin(), more.end());
+    };
+    for (const auto& each : news.exonerated) {
+        dispatch::record_exoneration(known, each.segment, now - milliseconds{each.age_ms});
+    }
+    for (const auto& each : news.suspects) {
+        dispatch::crash_suspect suspect{.endpoint = each.endpoint,
+                                        .team = each.team,
+                                        .segments = each.segments,
+                                        .crashed_at = now - milliseconds{each.age_ms}};
+        std::sort(suspect.segments.begin(), suspect.segments.end());
+        suspect.segments.resize(std::min(suspect.segments.size(), dispatch::max_suspect_segments));
+        add(dispatch::record_suspect(known, suspect, now));
+    }
+    for (const auto& each : news.causes) {
+        dispatch::crash_cause cause{
+            .segments = each.segments,
+            .crashes = each.crashes,
+            .first_crash = now - milliseconds{each.age_ms},
+            .last_crash = now - milliseconds{each.age_ms},
+            .hold = std::min<core::duration>(milliseconds{each.hold_ms}, dispatch::max_hold)};
+        if (!each.team.empty()) {
+            cause.team = each.team.front();
+        }
+        std::sort(cause.segments.begin(), cause.segments.end());
+        cause.segments.resize(std::min(cause.segments.size(), dispatch::max_suspect_segments));
+        add(dispatch::record_cause(known, cause, now));
+    }
+    return exonerated;
+}
+
 bool apply(dispatch::fleet_state& book, const load_report& report, core::instant now)
 {
     auto& peer = book.peers[report.instance];
--- a/src/peers/own_report.cpp
+++ b/src/peers/own_report.cpp
@@ -26,15 +26,6 @@
 /// Maximum number of prompt parts that are repeated in the next report.
 constexpr std::size_t max_repeated_parts = 200;
 
-/// Upper limit of reported ages; stands for an unknown age.
-constexpr std::uint32_t unknown_age_ms = 3600000;
-
-std::uint32_t to_milliseconds(core::duration duration)
-{
-    const auto count = std::chrono::duration_cast<milliseconds>(duration).count();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, unknown_age_ms));
-}
-
 } // namespace
 
 load_report peer_exchange::make_report(core::instant now, bool full)
@@ -43,6 +34,7 @@
     auto report = this->make_report_header(now);
     this->add_endpoint_totals(report, full, now);
     this->add_recent_work(report, full);
+    this->add_crash_news(report, full, now);
     if (full) {
         this->add_member_addresses(report, now);
     }
@@ -105,6 +97,31 @@
     }
 }
 
+void peer_exchange::add_crash_news(load_report& report, bool full, core::instant now)
+{
+    // Like prompt parts, suspects and exonerated segments are sent in two reports.
+    auto suspects =
+        std::exchange(this->last_suspects, std::exchange(this->entry.activity.crash_suspects, {}));
+    suspects.insert(suspects.end(), this->last_suspects.begin(), this->last_suspects.end());
+    for (const auto& each : suspects) {
+        report.crashes.suspects.push_back({.endpoint = each.endpoint,
+                                           .team = each.team,
+                                           .segments = each.segments,
+                                           .age_ms = to_milliseconds(core::elapsed(each.crashed_at, now))});
+    }
+    auto exonerated =
+        std::exchange(this->last_exonerated, std::exchange(this->entry.activity.exonerated_segments, {}));
+    exonerated.insert(exonerated.end(), this->last_exonerated.begin(), this->last_exonerated.end());
+    for (const auto& [segment, at] : exonerated) {
+        report.crashes.exonerated.push_back(
+            {.segment = segment, .age_ms = to_milliseconds(core::elapsed(at, now))});
+    }
+    const auto& causes = this->entry.fleet.crashes.causes;
+    if (full && !causes.empty()) {
+        report.crashes.causes.push_back(to_entry(causes[this->next_cause++ % causes.size()], now));
+    }
+}
+
 void peer_exchange::add_recent_work(load_report& report, bool full)
 {
     auto& work = this->entry.activity;
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -140,7 +140,7 @@
     const bool full = now - this->last_full_report >= full_report_interval(this->members.size());
     auto report = this->make_report(now, full);
     const bool has_changes = !report.leaving_endpoints.empty() || !report.endpoints.empty() ||
-                             !report.prompt_parts.empty() || !report.teams.empty();
+                             !report.prompt_parts.empty() || !report.teams.empty() || !report.crashes.empty();
     if (!has_changes && now - this->last_sent < keepalive_interval) {
         --this->sequence;
         return;
@@ -161,6 +161,9 @@
             report.member_addresses.push_back(core::to_string(address));
         }
     }
+    for (const auto& cause : this->entry.fleet.crashes.causes) {
+        report.crashes.causes.push_back(to_entry(cause, now));
+    }
     this->send_to(newcomer, direct_message + encode(report));
 }
 
@@ -259,6 +262,12 @@
         }
     }
     apply(this->entry.fleet, report, now);
+    if (!report.crashes.empty()) {
+        for (const auto segment : apply(this->entry.fleet.crashes, report.crashes, now)) {
+            this->entry.activity.exonerated_segments.emplace_back(segment, now);
+        }
+        this->entry.apply_cause_changes();
+    }
 }
 
 void peer_exchange::choose_readers(core::instant now)
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -1,5 +1,6 @@
 #include "attempt.hpp"
 
+#include "crash_watch.hpp"
 #include "refusal.hpp"
 
 #include "hibiscusfall/telemetry/log_event.hpp"
@@ -111,7 +112,8 @@
 
 asio::awaitable<attempt_result> relay_buffered(request_state& state,
                                                std::shared_ptr<endpoint_connection> connection,
-                                               std::unique_ptr<head_parser> head)
+                                               std::unique_ptr<head_parser> head,
+                                               std::uint64_t ticket)
 {
     buffered_parser parser{std::move(*head)};
     head.reset();
@@ -134,6 +136,7 @@
     if (!success || !metadata.is_signed || metadata.request_id.empty()) {
         co_return classify_failure(metadata, std::move(answer));
     }
+    record_answer_start(state, ticket);
     co_await send_response(state, answer);
     attempt_result result{.outcome = verdict::ran(), .delivered = !state.caller.is_disconnected()};
     result.caller_disconnected = state.caller.is_disconnected();
@@ -215,6 +218,7 @@
         }
         note_event(state, now);
         if (!running.first_event_seen) {
+            record_answer_start(state, running.ticket);
             const auto error = dispatch::record_first_event(
                 state.server.fleet, running, now - observation_delay(state.server.load));
             state.server.first_event_latency.record(error.observed);
@@ -319,7 +323,7 @@
         co_return co_await relay_events(state, connection, std::move(head), running, limit);
     }
     connection->expires = std::min(state.deadline, std::max(limit, event_loop::now()));
-    co_return co_await relay_buffered(state, connection, std::move(head));
+    co_return co_await relay_buffered(state, connection, std::move(head), running.ticket);
 }
 
 asio::awaitable<std::shared_ptr<endpoint_connection>>
@@ -334,9 +338,9 @@
     state.caller.set_connection(connection);
     const auto address = endpoint.entry.address;
     const auto left = core::elapsed(event_loop::now(), state.deadline);
-    const bool connected = co_await connect(
+    const auto error = co_await connect(
         connection, address, std::min(connect_limit + observation_delay(state.server.load), left));
-    if (!connected) {
+    if (error) {
         co_return nullptr;
     }
     co_return connection;
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -23,6 +23,7 @@
     std::shared_ptr<const catalog::route_table> table{}; ///< In force when the request arrived.
     const catalog::route* route = nullptr;
     const catalog::team* team = nullptr;
+    dispatch::team_tag team_tag = 0;
     core::service_id service{};
     core::instant arrived{};
     core::instant deadline{};   ///< Time at which the caller gives up.
@@ -34,6 +35,7 @@
     core::instant last_event{};      ///< Time of the last event relayed to the caller.
     core::duration first_event{};    ///< From the request's arrival to the first event; zero until then.
     core::duration longest_pause{};  ///< Longest time between two events.
+    bool withdrawn = false; ///< Whether the attempt was cancelled because its prompt crashes engines.
 };
 
 /// @brief A complete response of an endpoint, buffered until it is known whether the caller gets it.
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -236,6 +236,11 @@
 void caller_session::handle_disconnect()
 {
     this->disconnected = true;
+    this->cancel_attempt();
+}
+
+void caller_session::cancel_attempt() noexcept
+{
     if (this->connection) {
         this->connection->close();
     }
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -62,6 +62,9 @@
     /// @brief Sets the endpoint connection that is closed when the caller disconnects; null for none.
     void set_connection(std::shared_ptr<endpoint_connection> link) { this->connection = std::move(link); }
 
+    /// @brief Closes the endpoint connection of the request in progress.
+    void cancel_attempt() noexcept;
+
     /// @brief Whether the connection accepts another request after the one in progress.
     [[nodiscard]] bool keeps_open() const noexcept { return this->keep_open && !this->server.shutting_down; }
 
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -130,28 +130,33 @@
     }
 }
 
-asio::awaitable<bool>
+asio::awaitable<error_code>
 connect(std::shared_ptr<endpoint_connection> link, core::address to, core::duration limit)
 {
     error_code error;
     const auto ip = asio::ip::make_address_v4(to.host, error);
     if (error) {
-        co_return false;
+        co_return error;
     }
     link->expires = event_loop::now() + limit;
     link->timed_out = false;
     co_await link->socket.async_connect(tcp::endpoint{ip, to.port},
                                         asio::redirect_error(asio::use_awaitable, error));
-    if (error || link->timed_out || link->broken) {
+    if (link->timed_out) {
+        error = asio::error::timed_out;
+    } else if (!error && link->broken) {
+        error = asio::error::operation_aborted;
+    }
+    if (error) {
         link->close();
-        co_return false;
+        co_return error;
     }
     error_code ignored;
     link->socket.set_option(tcp::no_delay{true}, ignored);
     const int descriptor = link->socket.native_handle();
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms, sizeof user_timeout_ms);
     link->expires = core::instant::max();
-    co_return true;
+    co_return error_code{};
 }
 
 } // namespace hibiscusfall::relay::detail
--- a/src/relay/endpoint_connection.hpp
+++ b/src/relay/endpoint_connection.hpp
@@ -78,8 +78,8 @@
 };
 
 /// @brief Connects within a time limit.
-/// @returns Whether the connection was established.
-asio::awaitable<bool>
+/// @returns No error if the connection was established.
+asio::awaitable<error_code>
 connect(std::shared_ptr<endpoint_connection> connection, core::address to, core::duration limit);
 
 } // namespace hibiscusfall::relay::detail
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -32,6 +32,18 @@
     count("hibiscusfall_foreign_answers_total",
           "Answers to other requests that were dropped.",
           counted.mismatched_responses);
+    count("hibiscusfall_endpoint_crashes_total",
+          "Crashes of endpoints found by this instance.",
+          counted.endpoint_crashes);
+    count("hibiscusfall_refused_crash_cause_total",
+          "Refusals of requests to whose prompt parts crashes are attributed.",
+          counted.refused_crash_cause);
+    count("hibiscusfall_withdrawn_attempts_total",
+          "Attempts withdrawn from endpoints that they may crash.",
+          counted.withdrawn_attempts);
+    count("hibiscusfall_repeats_withheld_total",
+          "Repeats not sent, as the request may have crashed its endpoint.",
+          counted.retries_withheld);
     count("hibiscusfall_connections_total", "Connections of callers.", counted.connections);
 }
 
@@ -89,6 +101,10 @@
                {},
                this->table ? static_cast<double>(this->table->version) : 0);
     page.gauge("hibiscusfall_instances", "Instances that budgets are divided by.", {}, this->instance_count);
+    page.gauge("hibiscusfall_crash_causes",
+               "Groups of prompt parts to which crashes are attributed.",
+               {},
+               static_cast<double>(this->fleet.crashes.causes.size()));
     page.gauge("hibiscusfall_sessions",
                "Open connections of callers.",
                {},
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusfall/relay/relay_server.hpp"
 
 #include "caller_session.hpp"
+#include "crash_watch.hpp"
 #include "endpoint_connection.hpp"
 #include "listener.hpp"
 #include "page_server.hpp"
@@ -31,6 +32,9 @@
 constexpr core::duration accept_grace_period = milliseconds{2600};
 /// The process exits this long before it would be killed.
 constexpr core::duration exit_margin = milliseconds{250};
+/// Time between the trials of two instances with segments that have crashed engines: longer than it takes
+/// until all know the result.
+constexpr core::duration trial_interval = std::chrono::seconds{1};
 constexpr core::duration accept_pause = milliseconds{20};
 /// Limit of connections accepted per loop iteration, so that responses in progress are not delayed.
 constexpr int max_accepts_per_iteration = 32;
@@ -43,7 +47,8 @@
 
 relay_server::relay_server(event_loop& loop_in_use, const dialect& chosen_dialect, relay_options settings)
     : loop(loop_in_use), http_dialect(chosen_dialect), options(std::move(settings)),
-      connections(std::make_unique<detail::connection_pool>(loop_in_use))
+      connections(std::make_unique<detail::connection_pool>(loop_in_use)),
+      crashes(std::make_unique<detail::crash_watch>())
 {
     this->fleet.own_domain = this->options.domain;
     this->fleet.shares.window = this->options.share_window;
@@ -83,6 +88,13 @@
         dispatch::update_endpoints(this->fleet, this->endpoints, *this->table, count);
     }
     this->instance_count = count;
+    this->fleet.crashes.trial_offset =
+        trial_interval * static_cast<std::int64_t>(dispatch::rank_of(this->options.instance, count));
+}
+
+void relay_server::apply_cause_changes()
+{
+    detail::apply_cause_changes(*this);
 }
 
 bool relay_server::ready() const noexcept
@@ -112,6 +124,7 @@
                      [this](core::instant now) { dispatch::advance(this->fleet.shares, now); });
     this->loop.every(milliseconds{1000}, [this](core::instant now) {
         dispatch::run_maintenance(this->fleet, now);
+        this->apply_cause_changes();
         dispatch::adjust_factor(this->spare);
         this->fleet.shares.overcommit_factor = this->spare.factor;
     });
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "request_handler.hpp"
 
 #include "attempt.hpp"
+#include "crash_watch.hpp"
 #include "refusal.hpp"
 
 #include "hibiscusfall/telemetry/bounded_log.hpp"
@@ -9,9 +10,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
-#include <cstdio>
 #include <vector>
 
 namespace hibiscusfall::relay::detail
@@ -55,17 +53,13 @@
     std::string detail;
 };
 
-/// The ids of a prompt's segments in hexadecimal, in order, separated by commas.
 std::string format_segments(const dispatch::prompt& prompt)
 {
-    std::string text;
-    std::array<char, 24> digits{};
+    std::vector<std::uint64_t> ids;
     for (const auto& segment : prompt.segments) {
-        const int length =
-            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, segment.id);
-        text.append(digits.data(), static_cast<std::size_t>(length));
+        ids.push_back(segment.id);
     }
-    return text;
+    return detail::format_segments(ids);
 }
 
 std::uint64_t digest(std::string_view text)
@@ -176,6 +170,10 @@
                 return this->unknown(401, "unauthorized", "no team has this key");
             }
         }
+        this->state.team_tag = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
+        if (const auto* cause = this->find_crash_cause()) {
+            return this->reject_for(*cause);
+        }
         const bool is_stream = this->state.route->kind == catalog::route_kind::stream;
         const bool cut_off = is_stream ? this->server.shutdown_may_cut_streams(this->state.arrived)
                                        : this->server.may_end_before(this->latest_response_time());
@@ -198,6 +196,30 @@
         return std::nullopt;
     }
 
+    /// The cause of crashes because of which the request must not be sent; null if there is none.
+    [[nodiscard]] const dispatch::crash_cause* find_crash_cause() const
+    {
+        const auto& generation = this->state.metadata.generation;
+        return generation
+                   ? dispatch::find_cause(
+                         this->server.fleet.crashes, *generation, this->state.team_tag, event_loop::now())
+                   : nullptr;
+    }
+
+    /// Refusal of a request to whose segments crashes are attributed. Retry-After is the time until they are
+    /// tried again, even if the caller's deadline is earlier.
+    refusal reject_for(const dispatch::crash_cause& cause)
+    {
+        ++this->server.counters.refused_crash_cause;
+        return {.status = 503,
+                .code = to_string(failure::crashes_endpoints),
+                .detail = std::to_string(cause.crashes) +
+                          " crashes of endpoints are attributed to the prompt parts " +
+                          detail::format_segments(cause.segments),
+                .retry_after = core::elapsed(event_loop::now(),
+                                             dispatch::rejected_until(this->server.fleet.crashes, cause))};
+    }
+
     /// Refusal for an unknown route or team. While the configuration may be outdated, the caller is asked to
     /// retry.
     [[nodiscard]] refusal unknown(unsigned status, std::string_view code, std::string detail) const
@@ -226,7 +248,6 @@
         this->draw = digest(this->state.metadata.id);
         this->state.service = catalog::choose_service(route, this->draw);
         this->state.timeout_at = this->latest_response_time();
-        this->team = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
         if (this->state.metadata.time_left) {
             this->state.waited =
                 dispatch::record_caller(this->server.waits, route.name, *this->state.metadata.time_left);
@@ -238,8 +259,8 @@
                     : dispatch::expected_output(
                           this->server.lengths, route.name, generation->max_output_tokens);
             const double cost = dispatch::share_cost(*this->state.metadata.generation);
-            dispatch::record_requested(this->server.fleet.shares, this->team, cost);
-            this->server.activity.teams[this->team].first += cost;
+            dispatch::record_requested(this->server.fleet.shares, this->state.team_tag, cost);
+            this->server.activity.teams[this->state.team_tag].first += cost;
         }
         dispatch::record_request(
             this->server.budgets[this->state.service], this->server.options.retries, this->state.arrived);
@@ -250,7 +271,7 @@
         const auto& generation = this->state.metadata.generation;
         const dispatch::placement_request request{.service = this->state.service,
                                                   .generation = generation ? &*generation : nullptr,
-                                                  .team = this->team,
+                                                  .team = this->state.team_tag,
                                                   .arrived = this->state.arrived,
                                                   .deadline =
                                                       std::min(this->state.deadline, this->state.timeout_at),
@@ -284,16 +305,20 @@
         if (generation) {
             if (this->log.attempts == 1) {
                 const double cost = dispatch::share_cost(*generation);
-                dispatch::record_granted(this->server.fleet.shares, this->team, cost);
-                this->server.activity.teams[this->team].second += cost;
+                dispatch::record_granted(this->server.fleet.shares, this->state.team_tag, cost);
+                this->server.activity.teams[this->state.team_tag].second += cost;
             }
             for (const auto& part : generation->segments) {
                 this->server.activity.parts.emplace_back(part.id, decision.endpoint);
             }
         }
         this->tried.push_back(decision.endpoint);
-        return dispatch::record_dispatch(
+        const auto running = dispatch::record_dispatch(
             this->server.fleet, decision.endpoint, generation ? *generation : no_prompt, now);
+        if (generation) {
+            this->server.crashes->waiting[running.ticket] = &this->state;
+        }
+        return running;
     }
 
     /// Latest time at which the response to the next attempt may start.
@@ -315,8 +340,38 @@
         return std::min(last, now + core::elapsed(now, last) * plain_attempt_percent / 100);
     }
 
+    /// Handles an attempt that broke before its answer began: the endpoint may have crashed because of it.
+    void check_broken_attempt(attempt_result& end, const dispatch::running_request& running)
+    {
+        if (this->state.withdrawn) {
+            ++this->server.counters.withdrawn_attempts;
+            end.sign = dispatch::request_outcome::succeeded;
+            if (end.outcome.state == run_state::may_have_run) {
+                end.outcome = verdict::may_have_run(failure::crashes_endpoints,
+                                                    "withdrawn from an endpoint that it may crash");
+            }
+            return;
+        }
+        const auto* endpoint = dispatch::find_endpoint(this->server.fleet, running.endpoint);
+        if (end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
+            this->state.metadata.generation && endpoint != nullptr) {
+            check_for_crash(this->server, *endpoint, *this->state.metadata.generation, this->state.team_tag);
+        }
+    }
+
+    /// Whether the request may have crashed its endpoint, so that it must not reach another one.
+    [[nodiscard]] bool may_crash_another(const attempt_result& end, const dispatch::running_request& running)
+    {
+        if (this->state.withdrawn || this->find_crash_cause() != nullptr) {
+            return true;
+        }
+        return end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
+               this->state.metadata.generation &&
+               dispatch::is_suspect(this->server.fleet.crashes, *this->state.metadata.generation);
+    }
+
     /// Whether the request may be retried after a failed attempt.
-    bool may_retry(const attempt_result& end, core::instant now)
+    bool may_retry(const attempt_result& end, const dispatch::running_request& running, core::instant now)
     {
         const auto& route = *this->state.route;
         if (end.delivered || end.caller_disconnected ||
@@ -332,6 +387,10 @@
         if (this->state.head_sent && !traffic::expect_continuation(this->state.events)) {
             return false;
         }
+        if (this->may_crash_another(end, running)) {
+            ++this->server.counters.retries_withheld;
+            return false;
+        }
         if (end.unsent) {
             return true;
         }
@@ -360,6 +419,8 @@
             auto running = this->begin(decision, now);
             auto end = co_await run_attempt(this->state, running, this->attempt_limit(decision, now));
             now = event_loop::now();
+            this->server.crashes->waiting.erase(running.ticket);
+            this->check_broken_attempt(end, running);
             dispatch::record_end(this->server.fleet, running, end.sign, now);
             if (end.outcome.reason == failure::connection_broken) {
                 log_cut_attempt(this->state, running, this->log.endpoint, this->log.attempts);
@@ -373,7 +434,7 @@
                 end.outcome = last.outcome; // an earlier attempt may have run
             }
             last = std::move(end);
-            if (!this->may_retry(last, now)) {
+            if (!this->may_retry(last, running, now)) {
                 co_await this->finish(last, decision);
                 co_return;
             }
@@ -493,7 +554,6 @@
     caller_session& caller;
     request_state state;
     request_log log;
-    dispatch::team_tag team = 0;
     std::uint64_t draw = 0;
     std::vector<dispatch::endpoint_tag> tried;
 };
