Let the system choose the ports of the relay tests

Seen: test_relay failed once with 'bind: Address already in use', and once in 12 runs side by side. Cause: the fixture looked for a free port, closed it and bound it later; an outgoing connection or another test could take it in between. Tried before: a range of its own for each process; 11 of 60 runs failed, as processes met in one range. Change: the relay listens at port 0 and tells the port that it got. Result: 60 runs, 12 at a time, none with that error.

--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -81,6 +81,10 @@
     /// @throws boost::system::system_error When an address cannot be bound.
     void listen();
 
+    /// @brief The port on which callers are accepted. If the settings leave it to the system, it is known once
+    /// @c listen has returned.
+    [[nodiscard]] std::uint16_t caller_port() const;
+
     /// @brief Applies changed settings: policy, budgets, shares and limits. Addresses do not change.
     void reload(const relay_options& changed);
 
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -130,6 +130,12 @@
     });
 }
 
+std::uint16_t relay_server::caller_port() const
+{
+    return this->acceptors ? this->acceptors->callers.local_endpoint().port()
+                           : this->options.caller_address.port;
+}
+
 void relay_server::shut_down(std::function<void()> when_done)
 {
     if (this->shutting_down) {
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -90,13 +90,6 @@
                                        .read_response = read_response,
                                        .request_id_header = "X-Request-Id"};
 
-std::uint16_t find_free_port()
-{
-    asio::io_context io;
-    tcp::acceptor acceptor{io, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
-    return acceptor.local_endpoint().port();
-}
-
 bool readable(tcp::socket& socket, std::chrono::steady_clock::time_point deadline)
 {
     const auto left =
@@ -147,7 +140,6 @@
 }
 
 relay_fixture::relay_fixture(std::vector<scripted_endpoint::script> scripts, catalog::route route)
-    : caller_port(find_free_port())
 {
     for (auto& script : scripts) {
         this->endpoints.push_back(std::make_unique<scripted_endpoint>(std::move(script)));
@@ -178,12 +170,13 @@
         plain_dialect,
         relay::relay_options{.instance = core::instance_id{"entry"},
                              .domain = core::failure_domain_id{"north"},
-                             .caller_address = {.host = "127.0.0.1", .port = this->caller_port},
-                             .readiness_address = {.host = "127.0.0.1", .port = find_free_port()},
+                             .caller_address = {.host = "127.0.0.1", .port = 0},
+                             .readiness_address = {.host = "127.0.0.1", .port = 0},
                              .retries = {.ratio = 1, .slack = 100}});
     this->entry->update(table);
     this->entry->update(list);
     this->entry->listen();
+    this->caller_port = this->entry->caller_port();
     this->thread = std::thread{[this] { this->loop.run(); }};
 }
 
