Take a stream that ends with its connection before any event as broken

What callers saw: an answer without length or chunks whose connection ended right after its head was passed on as a whole stream without events. Cause: the end of the connection counts as the end of such a stream, whatever came before. Evidence: a_stream_without_length_or_chunks_that_ends_before_its_first_event_does_not_look_whole failed before (200 with a last chunk). The other five new cases of such streams passed before: whole, cut inside an event, reset, cut inside the head, on a kept connection. Change: without an event the attempt is broken, so that it may go on elsewhere or ends in 502; a crash at that point is attributed like others.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -248,6 +248,14 @@
             verdict::may_have_run(failure::connection_broken, "the stream ended inside an event"),
             request_outcome::failed);
     }
+    // The end of a connection without an event before it is no end of a stream: the endpoint has closed
+    // early.
+    if (parser.need_eof() && !running.first_event_seen) {
+        connection->close();
+        co_return failed(
+            verdict::may_have_run(failure::connection_broken, "the stream ended before its first event"),
+            request_outcome::failed);
+    }
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
--- a/tests/relay/stream_relay_test.cpp
+++ b/tests/relay/stream_relay_test.cpp
@@ -27,6 +27,13 @@
     return occurrences;
 }
 
+/// A stream whose end is the end of its connection.
+std::string unframed_stream_head(std::string_view id)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Signature: s\r\nX-Request-Id: " +
+           std::string{id} + "\r\nConnection: close\r\n\r\n";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(stream_relay_test)
@@ -215,4 +222,86 @@
     BOOST_TEST(contains(caller.read_all(), "503"));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_ends_after_an_event_is_whole)
+{
+    const auto unframed = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(unframed_stream_head(request->id) + numbered_event(1));
+        std::this_thread::sleep_for(20ms);
+        connection.write(numbered_event(2));
+    };
+    relay_fixture fixture{{unframed}, route_of(route_kind::stream)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(count(answer, "id: ") == 2U);
+    BOOST_TEST(answer.ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_ends_inside_an_event_does_not_look_whole)
+{
+    const auto unframed = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(unframed_stream_head(request->id) + numbered_event(1) + "id: 2\ndata: {");
+    };
+    relay_fixture fixture{{unframed}, route_of(route_kind::stream)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(count(answer, "id: ") == 1U);
+    BOOST_TEST(!answer.ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_is_reset_after_an_event_does_not_look_whole)
+{
+    const auto unframed = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(unframed_stream_head(request->id) + numbered_event(1));
+        std::this_thread::sleep_for(50ms);
+        connection.reset();
+    };
+    relay_fixture fixture{{unframed}, route_of(route_kind::stream)};
+    BOOST_TEST(!fixture.ask(request_bytes("1")).ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_ends_before_its_first_event_does_not_look_whole)
+{
+    for (const std::string_view received : {"", "id: 1\nda"}) {
+        const auto unframed = [received](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            connection.write(unframed_stream_head(request->id) + std::string{received});
+        };
+        relay_fixture fixture{{unframed}, route_of(route_kind::stream)};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_connection_ends_inside_its_head_is_no_answer)
+{
+    const auto cut_head = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: " + request->id + "\r\n");
+    };
+    relay_fixture fixture{{cut_head}, route_of(route_kind::stream)};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 502"));
+}
+
+BOOST_AUTO_TEST_CASE(a_kept_connection_that_ends_with_its_stream_is_not_used_again)
+{
+    const auto keeps_then_ends = [](endpoint_connection& connection) {
+        const auto first = connection.read_request();
+        if (!first) {
+            return;
+        }
+        connection.write(signed_stream_head(first->id) + event_chunks(1, 3) + last_chunk);
+        const auto second = connection.read_request();
+        if (second) {
+            connection.write(unframed_stream_head(second->id) + numbered_event(1) + numbered_event(2));
+        }
+    };
+    relay_fixture fixture{{keeps_then_ends}, route_of(route_kind::stream)};
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = fixture.ask(request_bytes(std::to_string(i)));
+        BOOST_TEST(count(answer, "id: ") == 2U);
+        BOOST_TEST(answer.ends_with(last_chunk));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
