Send no request again that has broken two attempts before its answer began

What callers saw: under load a repeat is sent before the crash of its engine is confirmed; one request ended three engines (1 of 60 runs of test_relay, 12 at a time). Cause: whether a request is suspect was asked only of confirmed crashes. Evidence: a_request_like_a_suspect_is_not_sent_to_another_engine_after_its_own_has_crashed, 3 > 2 arrivals. Change: the request's own broken attempts count as well.

--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -355,6 +355,7 @@
         const auto* endpoint = dispatch::find_endpoint(this->server.fleet, running.endpoint);
         if (end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
             this->state.metadata.generation && endpoint != nullptr) {
+            ++this->broken_starts;
             check_for_crash(this->server, *endpoint, *this->state.metadata.generation, this->state.team_tag);
         }
     }
@@ -362,7 +363,7 @@
     /// Whether the request may have crashed its endpoint, so that it must not reach another one.
     [[nodiscard]] bool may_crash_another(const attempt_result& end, const dispatch::running_request& running)
     {
-        if (this->state.withdrawn || this->find_crash_cause() != nullptr) {
+        if (this->state.withdrawn || this->broken_starts > 1 || this->find_crash_cause() != nullptr) {
             return true;
         }
         return end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
@@ -556,6 +557,7 @@
     request_log log;
     std::uint64_t draw = 0;
     std::vector<dispatch::endpoint_tag> tried;
+    std::uint32_t broken_starts = 0; ///< Attempts that broke before their answers began.
 };
 
 } // namespace
