End a stalled stream whose deadline passes while its caller is written to

While an event is written to the caller there is no read to cancel, and the next read started regardless. Evidence: a_stream_whose_time_ends_while_its_caller_reads_slowly_is_moved plays this with a caller that does not read; it failed before. Change: a read on a connection that is marked ends at once.

--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -81,7 +81,8 @@
     /// @throws boost::system::system_error When an address cannot be bound.
     void listen();
 
-    /// @brief The port on which callers are accepted. If the settings leave it to the system, it is known once
+    /// @brief The port on which callers are accepted. If the settings leave it to the system, it is known
+    /// once
     /// @c listen has returned.
     [[nodiscard]] std::uint16_t caller_port() const;
 
--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -27,6 +27,11 @@
 /// Receives more bytes into the connection's buffer.
 asio::awaitable<read_result> receive(std::shared_ptr<endpoint_connection> connection, bool& ended)
 {
+    ended = false;
+    // The deadline may have passed while no operation was in progress that it could cancel.
+    if (connection->timed_out) {
+        co_return read_result::timed_out;
+    }
     error_code error;
     const auto space = connection->buffer.prepare(read_bytes);
     const auto received =
--- a/tests/relay/endless_bytes_test.cpp
+++ b/tests/relay/endless_bytes_test.cpp
@@ -156,4 +156,32 @@
     BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_whose_time_ends_while_its_caller_reads_slowly_is_moved)
+{
+    const auto connection_count = std::make_shared<std::atomic<int>>(0);
+    const auto script = [=](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (connection_count->fetch_add(1) > 0) {
+            connection.write(signed_stream_head(request->id) + event_chunks(2, 4) + "0\r\n\r\n");
+            connection.wait_for_close();
+            return;
+        }
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 2));
+        const auto long_comment = chunk(": " + std::string(60000, 'x') + "\n\n");
+        for (int i = 0; i < 400 && connection.try_write(long_comment); ++i) {
+        }
+        while (connection.try_write(chunk(": still here\n\n"))) {
+            std::this_thread::sleep_for(100ms);
+        }
+    };
+    auto route = route_of(route_kind::stream, 2, true);
+    route.timeout = 8s;
+    relay_fixture fixture{{script, script}, route};
+    raw_caller caller{fixture.port()};
+    caller.send(request_bytes("1", "X-Time-Left: 8000\r\n"));
+    std::this_thread::sleep_for(1500ms);
+    const auto answer = caller.read_until("0\r\n\r\n", 6s);
+    BOOST_TEST(answer.find("id: 3") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
