--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -51,6 +51,7 @@
         position->second = std::min(position->second, each->crashed_at);
     }
     std::vector<core::instant> times;
+    times.reserve(crashes.size());
     for (const auto& [endpoint, at] : crashes) {
         times.push_back(at);
     }
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -56,6 +56,7 @@
 std::string format_segments(const dispatch::prompt& prompt)
 {
     std::vector<std::uint64_t> ids;
+    ids.reserve(prompt.segments.size());
     for (const auto& segment : prompt.segments) {
         ids.push_back(segment.id);
     }
