Answer a team beyond its share with 429 instead of 503

Cause: one status for two reasons. Change: 429, which says that the caller's own team has asked for too much, as the project's own interface does; Retry-After and the promise of not having run stay. Nothing is served more or less often by this. Evidence: a_team_beyond_its_share_is_not_told_that_the_service_is_unavailable failed before.

--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -531,14 +531,17 @@
         if (reason == failure::no_endpoint) {
             detail = "no endpoint of the service is in use";
         }
-        const refusal answer{
-            .status = 503, .code = to_string(reason), .detail = std::move(detail), .retry_after = after};
+        const bool over_share = !placed && !decision.within_share && reason == failure::queue_full;
+        const refusal answer{.status = over_share ? 429U : 503U,
+                             .code = to_string(reason),
+                             .detail = std::move(detail),
+                             .retry_after = after};
         co_await this->refuse(answer);
     }
 
     asio::awaitable<void> refuse(const refusal& answer)
     {
-        if (answer.status == 503) {
+        if (answer.status == 503 || answer.status == 429) {
             ++this->server.counters.refused;
             this->log.outcome = "refused";
         } else if (answer.status >= 500) {
--- a/tests/relay/whole_answer_test.cpp
+++ b/tests/relay/whole_answer_test.cpp
@@ -319,4 +319,28 @@
     BOOST_TEST(contains(answer, "Retry-After"));
 }
 
+BOOST_AUTO_TEST_CASE(a_team_beyond_its_share_is_not_told_that_the_service_is_unavailable)
+{
+    const auto unused = [](endpoint_connection& connection) { connection.wait_for_close(); };
+    relay_fixture fixture{{unused}, route_of(route_kind::stream)};
+    fixture.run_on_loop([](relay::relay_server& entry) {
+        auto& shares = entry.fleet.shares;
+        const auto team = dispatch::tag_of(core::team_id{"huts"});
+        shares.tokens_per_second = 100;
+        dispatch::record_requested(shares, team, 1e6);
+        dispatch::record_requested(shares, team + 1, 1e6);
+        dispatch::record_granted(shares, team, 1e6);
+        dispatch::advance(shares, relay::event_loop::now());
+    });
+    const auto answer = fixture.ask(request_bytes("1", "X-Prompt: a:100,b:20\r\n"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 429"));
+    BOOST_TEST(contains(answer, "Retry-After: "));
+    BOOST_TEST(contains(answer, "beyond its share"));
+    BOOST_TEST(fixture.received().empty());
+    fixture.run_on_loop([](relay::relay_server& entry) {
+        BOOST_TEST(entry.counters.refused == 1U);
+        BOOST_TEST(entry.counters.refused_over_share == 1U);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
