--- a/include/hibiscusfall/dispatch/crash_attribution.hpp
+++ b/include/hibiscusfall/dispatch/crash_attribution.hpp
@@ -50,7 +50,7 @@
     std::unordered_map<std::uint64_t, core::instant> started;
     /// Added to the hold of a cause. Differs between instances, so that one of them tries the segments first.
     core::duration trial_offset{};
-    bool has_news = false; ///< Whether something was recorded since the last call of @c update_causes.
+    bool changed = false; ///< Whether something was recorded since the last call of @c update_causes.
 };
 
 /// @brief An answer that began this long before a crash still exonerates its segments.
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -67,7 +67,7 @@
 };
 
 /// @brief What one report says of crashes.
-struct crash_news {
+struct crash_findings {
     std::vector<suspect_entry> suspects{};
     std::vector<exonerated_segment> exonerated{};
     std::vector<cause_entry>
@@ -101,7 +101,7 @@
                                                  ///< a reply to a newcomer.
     double cpu_cores = 1;                        ///< CPU available to the sender, in cores.
     std::vector<dispatch::endpoint_tag> leaving_endpoints{}; ///< Endpoints that announced that they leave.
-    crash_news crashes{};
+    crash_findings crashes{};
     MSGPACK_DEFINE(format,
                    instance,
                    incarnation,
@@ -151,6 +151,6 @@
 /// @brief Applies what a peer reports of crashes.
 /// @returns Segments on which this instance knows that an answer has begun, to be reported in turn.
 std::vector<std::uint64_t>
-apply(dispatch::crash_attribution& known, const crash_news& news, core::instant now);
+apply(dispatch::crash_attribution& known, const crash_findings& findings, core::instant now);
 
 } // namespace hibiscusfall::peers
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -100,7 +100,7 @@
     void add_member_addresses(load_report& report, core::instant now);
     void add_endpoint_totals(load_report& report, bool full, core::instant now);
     void add_recent_work(load_report& report, bool full);
-    void add_crash_news(load_report& report, bool full, core::instant now);
+    void add_crash_findings(load_report& report, bool full, core::instant now);
     void send(std::string& datagram, core::instant now);
     void send_to(const core::address& to, const std::string& datagram);
     void forward(std::string_view reports);
--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -263,7 +263,7 @@
             exonerated.push_back(segment.id);
         }
     }
-    state.has_news = state.has_news || !exonerated.empty();
+    state.changed = state.changed || !exonerated.empty();
     return exonerated;
 }
 
@@ -295,7 +295,7 @@
         }
     }
     extend_causes(state, suspect);
-    state.has_news = true;
+    state.changed = true;
     return exonerated;
 }
 
@@ -304,7 +304,7 @@
     const auto [position, added] = state.exonerated.try_emplace(segment, at);
     if (added || position->second < at) {
         position->second = std::max(position->second, at);
-        state.has_news = true;
+        state.changed = true;
     }
 }
 
@@ -334,14 +334,14 @@
                state.causes.size() < max_causes) {
         state.causes.push_back(cause);
         state.causes.back().confirmed = true;
-        state.has_news = true;
+        state.changed = true;
     }
     return exonerated;
 }
 
 void update_causes(crash_attribution& state, core::instant now)
 {
-    if (!std::exchange(state.has_news, false)) {
+    if (!std::exchange(state.changed, false)) {
         return;
     }
     remove_exonerated(state);
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -130,16 +130,16 @@
 }
 
 std::vector<std::uint64_t>
-apply(dispatch::crash_attribution& known, const crash_news& news, core::instant now)
+apply(dispatch::crash_attribution& known, const crash_findings& findings, core::instant now)
 {
     std::vector<std::uint64_t> exonerated;
     const auto add = [&](const std::vector<std::uint64_t>& more) {
         exonerated.insert(exonerated.end(), more.begin(), more.end());
     };
-    for (const auto& each : news.exonerated) {
+    for (const auto& each : findings.exonerated) {
         dispatch::record_exoneration(known, each.segment, now - milliseconds{each.age_ms});
     }
-    for (const auto& each : news.suspects) {
+    for (const auto& each : findings.suspects) {
         dispatch::crash_suspect suspect{.endpoint = each.endpoint,
                                         .team = each.team,
                                         .segments = each.segments,
@@ -148,7 +148,7 @@
         suspect.segments.resize(std::min(suspect.segments.size(), dispatch::max_suspect_segments));
         add(dispatch::record_suspect(known, suspect, now));
     }
-    for (const auto& each : news.causes) {
+    for (const auto& each : findings.causes) {
         dispatch::crash_cause cause{
             .segments = each.segments,
             .crashes = each.crashes,
--- a/src/peers/own_report.cpp
+++ b/src/peers/own_report.cpp
@@ -34,7 +34,7 @@
     auto report = this->make_report_header(now);
     this->add_endpoint_totals(report, full, now);
     this->add_recent_work(report, full);
-    this->add_crash_news(report, full, now);
+    this->add_crash_findings(report, full, now);
     if (full) {
         this->add_member_addresses(report, now);
     }
@@ -97,7 +97,7 @@
     }
 }
 
-void peer_exchange::add_crash_news(load_report& report, bool full, core::instant now)
+void peer_exchange::add_crash_findings(load_report& report, bool full, core::instant now)
 {
     // Like prompt parts, suspects and exonerated segments are sent in two reports.
     auto suspects =
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -45,7 +45,7 @@
                          .with("parts", format_segments(cause.segments))
                          .with("team_tag", cause.team ? std::to_string(*cause.team) : "any")
                          .with("crashes", cause.crashes)
-                         .with("from_peer", cause.confirmed)
+                         .with("confirmed", cause.confirmed)
                          .with("hold_ms", cause.hold.count() / 1000));
 }
 
--- a/tests/dispatch/crash_attribution_test.cpp
+++ b/tests/dispatch/crash_attribution_test.cpp
@@ -141,11 +141,11 @@
 BOOST_AUTO_TEST_CASE(the_order_in_which_reports_arrive_does_not_matter)
 {
     BOOST_TEST(rc::check("suspects and answers in any order, some of them twice", [] {
-        struct news {
+        struct finding {
             bool answer = false;
             crash_suspect suspect;
         };
-        std::vector<news> all;
+        std::vector<finding> all;
         for (endpoint_tag engine = 1; engine <= 4; ++engine) {
             all.push_back({.suspect = {.endpoint = engine,
                                        .team = huts,
--- a/tests/peers/crash_news_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -51,7 +51,7 @@
 
 struct report_under_way {
     std::size_t to = 0;
-    peers::crash_news news;
+    peers::crash_findings findings;
 };
 
 class load_play
@@ -188,17 +188,17 @@
                 const std::vector<std::uint64_t>& exonerated,
                 core::instant now)
     {
-        peers::crash_news news;
+        peers::crash_findings findings;
         for (const auto& each : suspects) {
-            news.suspects.push_back(
+            findings.suspects.push_back(
                 {.endpoint = each.endpoint, .team = each.team, .segments = each.segments, .age_ms = 0});
         }
         for (const auto segment : exonerated) {
-            news.exonerated.push_back({.segment = segment, .age_ms = 0});
+            findings.exonerated.push_back({.segment = segment, .age_ms = 0});
         }
-        if (!news.empty()) {
-            this->send(from, news, now);
-            this->send(from, news, now);
+        if (!findings.empty()) {
+            this->send(from, findings, now);
+            this->send(from, findings, now);
         }
     }
 
@@ -215,13 +215,13 @@
         }
     }
 
-    void send(std::size_t from, const peers::crash_news& news, core::instant now)
+    void send(std::size_t from, const peers::crash_findings& findings, core::instant now)
     {
         const auto longest = static_cast<int>(this->options.report_delay / 1ms);
         for (std::size_t to = 0; to < this->known.size(); ++to) {
             if (to != from && !this->chance(this->options.loss)) {
                 this->reports.emplace(now + milliseconds{this->draw(5, longest)},
-                                      report_under_way{.to = to, .news = news});
+                                      report_under_way{.to = to, .findings = findings});
             }
         }
     }
@@ -230,7 +230,7 @@
     {
         while (!this->reports.empty() && this->reports.begin()->first <= now) {
             const auto report = this->reports.extract(this->reports.begin()).mapped();
-            const auto exonerated = peers::apply(this->known[report.to], report.news, now);
+            const auto exonerated = peers::apply(this->known[report.to], report.findings, now);
             this->report(report.to, {}, exonerated, now);
         }
     }
@@ -262,9 +262,9 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(crash_news_test)
+BOOST_AUTO_TEST_SUITE(crash_findings_test)
 
-BOOST_AUTO_TEST_CASE(news_of_crashes_survive_the_wire_and_old_reports_have_none)
+BOOST_AUTO_TEST_CASE(findings_survive_the_wire_and_reports_of_older_instances_are_read_without_them)
 {
     peers::load_report report{.instance = "a", .incarnation = 1, .sequence = 1, .domain = "north"};
     report.crashes.suspects = {{.endpoint = 7, .team = 3, .segments = {1, 2}, .age_ms = 40}};
@@ -276,19 +276,30 @@
     BOOST_TEST(read->crashes.suspects.front().segments.size() == 2U);
     BOOST_TEST(read->crashes.exonerated.front().segment == 2U);
     BOOST_TEST(read->crashes.causes.front().hold_ms == 60000U);
-    BOOST_TEST(peers::encode({.instance = "a", .incarnation = 1}).size() + 200 > bytes.size());
+    const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+    const auto& fields = whole.get().via.array;
+    msgpack::sbuffer older;
+    msgpack::packer packer{older};
+    packer.pack_array(fields.size - 1);
+    for (std::uint32_t i = 0; i + 1 < fields.size; ++i) {
+        packer.pack(fields.ptr[i]);
+    }
+    const auto read_older = peers::decode({older.data(), older.size()});
+    BOOST_REQUIRE(read_older.has_value());
+    BOOST_TEST(read_older->instance == "a");
+    BOOST_TEST(read_older->crashes.empty());
 }
 
-BOOST_AUTO_TEST_CASE(malformed_news_of_a_peer_neither_grow_without_bound_nor_reject_everything)
+BOOST_AUTO_TEST_CASE(malformed_findings_of_a_peer_neither_grow_without_bound_nor_reject_everything)
 {
     crash_attribution known;
-    peers::crash_news news;
-    news.causes = {{.segments = {}, .crashes = 9, .age_ms = 0, .hold_ms = 0xFFFFFFFF}};
+    peers::crash_findings findings;
+    findings.causes = {{.segments = {}, .crashes = 9, .age_ms = 0, .hold_ms = 0xFFFFFFFF}};
     for (std::uint64_t i = 0; i < 1000; ++i) {
-        news.causes.push_back({.segments = {i}, .crashes = 2, .age_ms = 0, .hold_ms = 0xFFFFFFFF});
-        news.suspects.push_back({.endpoint = static_cast<std::uint32_t>(i), .segments = {}});
+        findings.causes.push_back({.segments = {i}, .crashes = 2, .age_ms = 0, .hold_ms = 0xFFFFFFFF});
+        findings.suspects.push_back({.endpoint = static_cast<std::uint32_t>(i), .segments = {}});
     }
-    (void)peers::apply(known, news, start);
+    (void)peers::apply(known, findings, start);
     dispatch::update_causes(known, start);
     BOOST_TEST(known.causes.size() <= dispatch::max_causes);
     BOOST_TEST(known.suspects.empty());
