--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -1,14 +1,13 @@
 #include "crash_watch.hpp"
 
+#include "request_log.hpp"
+
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cinttypes>
-#include <cstdio>
 #include <utility>
 
 namespace hibiscusfall::relay::detail
@@ -96,18 +95,6 @@
 
 } // namespace
 
-std::string format_segments(std::span<const std::uint64_t> segments)
-{
-    std::string text;
-    std::array<char, 24> digits{};
-    for (const auto segment : segments) {
-        const int length =
-            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, segment);
-        text.append(digits.data(), static_cast<std::size_t>(length));
-    }
-    return text;
-}
-
 void record_answer_start(request_state& state, std::uint64_t ticket)
 {
     state.server.crashes->waiting.erase(ticket);
--- a/src/relay/crash_watch.hpp
+++ b/src/relay/crash_watch.hpp
@@ -32,7 +32,4 @@
 /// @brief Logs new and withdrawn causes. Cancels the attempts that are to be rejected and have not begun.
 void apply_cause_changes(relay_server& server);
 
-/// @brief The ids of segments in hexadecimal, separated by commas.
-[[nodiscard]] std::string format_segments(std::span<const std::uint64_t> segments);
-
 } // namespace hibiscusfall::relay::detail
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -3,9 +3,7 @@
 #include "attempt.hpp"
 #include "crash_watch.hpp"
 #include "refusal.hpp"
-
-#include "hibiscusfall/telemetry/bounded_log.hpp"
-#include "hibiscusfall/telemetry/log_event.hpp"
+#include "request_log.hpp"
 
 #include <xxhash.h>
 
@@ -41,84 +39,11 @@
 /// Minimum remaining time for another attempt.
 constexpr core::duration min_attempt_time = milliseconds{30};
 
-struct request_log {
-    std::string_view outcome = "none";
-    unsigned status = 0;
-    std::uint32_t attempts = 0;
-    core::duration expected{};
-    std::uint32_t read_again = 0;
-    std::uint32_t considered = 0;
-    bool within_share = true;
-    std::string endpoint;
-    std::string detail;
-};
-
-std::string format_segments(const dispatch::prompt& prompt)
-{
-    std::vector<std::uint64_t> ids;
-    ids.reserve(prompt.segments.size());
-    for (const auto& segment : prompt.segments) {
-        ids.push_back(segment.id);
-    }
-    return detail::format_segments(ids);
-}
-
 std::uint64_t digest(std::string_view text)
 {
     return XXH64(text.data(), text.size(), 0);
 }
 
-void write_log(const request_state& state, const request_log& log)
-{
-    if (!telemetry::admit_line()) {
-        return;
-    }
-    telemetry::log_event line{"request"};
-    const auto& server = state.server;
-    line.with("id", state.metadata.id)
-        .with("outcome", log.outcome)
-        .with("status", log.status)
-        .with("route", state.route == nullptr ? std::string_view{"-"} : std::string_view{state.route->name})
-        .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
-        .with("endpoint", log.endpoint.empty() ? std::string_view{"-"} : std::string_view{log.endpoint})
-        .with("attempts", log.attempts)
-        .with("weighed", log.considered)
-        .with("expected_ms", log.expected.count() / 1000)
-        .with("waited_ms", state.waited.count() / 1000)
-        .with("took_ms", core::elapsed(state.arrived, event_loop::now()).count() / 1000)
-        .with("first_ms", state.first_event.count() / 1000)
-        .with("pause_ms", state.longest_pause.count() / 1000)
-        .with("left_ms", core::elapsed(event_loop::now(), state.deadline).count() / 1000)
-        .with("in_share", log.within_share)
-        .with("read_again", log.read_again)
-        .with("version", state.table ? state.table->version : 0)
-        .with("leaving", server.shutting_down);
-    if (!log.detail.empty()) {
-        line.with("reason", log.detail);
-    }
-    telemetry::write(line);
-}
-
-/// Logs an attempt whose connection to the endpoint broke before the response was complete.
-void log_cut_attempt(const request_state& state,
-                     const dispatch::running_request& running,
-                     std::string_view endpoint,
-                     std::uint32_t attempt)
-{
-    if (!telemetry::admit_line()) {
-        return;
-    }
-    const auto& generation = state.metadata.generation;
-    telemetry::write(telemetry::log_event{"attempt_cut"}
-                         .with("id", state.metadata.id)
-                         .with("endpoint", endpoint)
-                         .with("attempt", attempt)
-                         .with("begun", running.first_event_seen)
-                         .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
-                         .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
-                         .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
-}
-
 /// @brief Handles one request from its arrival to the final response.
 class request_handler
 {
@@ -142,7 +67,7 @@
             this->prepare();
             co_await this->serve();
         }
-        write_log(this->state, this->log);
+        log_request(this->state, this->log);
     }
 
 private:
--- /dev/null
+++ b/src/relay/request_log.cpp
@@ -0,0 +1,91 @@
+#include "request_log.hpp"
+
+#include "hibiscusfall/telemetry/bounded_log.hpp"
+#include "hibiscusfall/telemetry/log_event.hpp"
+
+#include <array>
+#include <cinttypes>
+#include <cstdio>
+#include <vector>
+
+namespace hibiscusfall::relay::detail
+{
+
+namespace
+{
+
+std::string format_segments(const dispatch::prompt& prompt)
+{
+    std::vector<std::uint64_t> ids;
+    ids.reserve(prompt.segments.size());
+    for (const auto& segment : prompt.segments) {
+        ids.push_back(segment.id);
+    }
+    return detail::format_segments(ids);
+}
+
+} // namespace
+
+std::string format_segments(std::span<const std::uint64_t> segments)
+{
+    std::string text;
+    std::array<char, 24> digits{};
+    for (const auto segment : segments) {
+        const int length =
+            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, segment);
+        text.append(digits.data(), static_cast<std::size_t>(length));
+    }
+    return text;
+}
+
+void log_request(const request_state& state, const request_log& log)
+{
+    if (!telemetry::admit_line()) {
+        return;
+    }
+    telemetry::log_event line{"request"};
+    const auto& server = state.server;
+    line.with("id", state.metadata.id)
+        .with("outcome", log.outcome)
+        .with("status", log.status)
+        .with("route", state.route == nullptr ? std::string_view{"-"} : std::string_view{state.route->name})
+        .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
+        .with("endpoint", log.endpoint.empty() ? std::string_view{"-"} : std::string_view{log.endpoint})
+        .with("attempts", log.attempts)
+        .with("weighed", log.considered)
+        .with("expected_ms", log.expected.count() / 1000)
+        .with("waited_ms", state.waited.count() / 1000)
+        .with("took_ms", core::elapsed(state.arrived, event_loop::now()).count() / 1000)
+        .with("first_ms", state.first_event.count() / 1000)
+        .with("pause_ms", state.longest_pause.count() / 1000)
+        .with("left_ms", core::elapsed(event_loop::now(), state.deadline).count() / 1000)
+        .with("in_share", log.within_share)
+        .with("read_again", log.read_again)
+        .with("version", state.table ? state.table->version : 0)
+        .with("leaving", server.shutting_down);
+    if (!log.detail.empty()) {
+        line.with("reason", log.detail);
+    }
+    telemetry::write(line);
+}
+
+void log_cut_attempt(const request_state& state,
+                     const dispatch::running_request& running,
+                     std::string_view endpoint,
+                     std::uint32_t attempt)
+{
+    if (!telemetry::admit_line()) {
+        return;
+    }
+    const auto& generation = state.metadata.generation;
+    telemetry::write(telemetry::log_event{"attempt_cut"}
+                         .with("id", state.metadata.id)
+                         .with("endpoint", endpoint)
+                         .with("attempt", attempt)
+                         .with("begun", running.first_event_seen)
+                         .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
+                         .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
+                         .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
+}
+
+} // namespace hibiscusfall::relay::detail
--- /dev/null
+++ b/src/relay/request_log.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "attempt.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace hibiscusfall::relay::detail
+{
+
+/// @brief What the log line of a request tells besides its state.
+struct request_log {
+    std::string_view outcome = "none";
+    unsigned status = 0;
+    std::uint32_t attempts = 0;
+    core::duration expected{};
+    std::uint32_t read_again = 0;
+    std::uint32_t considered = 0;
+    bool within_share = true;
+    std::string endpoint;
+    std::string detail;
+};
+
+/// @brief Logs the final response to a request.
+void log_request(const request_state& state, const request_log& log);
+
+/// @brief Logs an attempt whose connection to the endpoint broke before the response was complete.
+void log_cut_attempt(const request_state& state,
+                     const dispatch::running_request& running,
+                     std::string_view endpoint,
+                     std::uint32_t attempt);
+
+/// @brief The ids of segments in hexadecimal, separated by commas.
+[[nodiscard]] std::string format_segments(std::span<const std::uint64_t> segments);
+
+} // namespace hibiscusfall::relay::detail
