Start the processes of tests in sessions of their own

Cause: -1 is SIGHUP. No fault of the router. Evidence: with the leader of its process group ending after 1.5 s the test fails in the same three lines; with 2.5 to 6.5 s it passes. Change: POSIX_SPAWN_SETSID.

--- a/testbed/child_process.cpp
+++ b/testbed/child_process.cpp
@@ -36,7 +36,10 @@
         posix_spawnattr_init(&this->attributes);
         posix_spawnattr_setsigmask(&this->attributes, &none);
         posix_spawnattr_setsigdefault(&this->attributes, &all);
-        posix_spawnattr_setflags(&this->attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
+        // The kernel hangs up stopped processes when their process group is orphaned, for example by the end
+        // of the shell that started the tests. A session of its own protects the child from that.
+        posix_spawnattr_setflags(&this->attributes,
+                                 POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF | POSIX_SPAWN_SETSID);
     }
     ~spawn_settings()
     {
