Log what an attempt left of an event and how its answer was framed

The log lines could not tell the hypotheses apart: bytes of a broken attempt that reach the next one, a late second answer on a kept connection, or an answer without a length that takes in what follows it. Change: attempt_cut is also written for answers that cannot be read; it has the reason, whether a head had been sent to the caller, the last event that was read, the bytes of the event that did not arrive whole, and whether the connection was reused and the answer had neither length nor chunks. The request line has the last two as well. Nothing else changes.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -326,12 +326,18 @@
     const auto metadata = state.server.http_dialect.read_response(head->get());
     record_announcements(state.server, connection->endpoint, metadata, event_loop::now());
     const bool success = head->get().result_int() / 100 == 2;
+    const bool ends_with_connection = head->need_eof();
     if (state.route->kind == catalog::route_kind::stream && success && metadata.is_signed &&
         !metadata.request_id.empty()) {
-        co_return co_await relay_events(state, connection, std::move(head), running, limit);
+        auto result = co_await relay_events(state, connection, std::move(head), running, limit);
+        result.ends_with_connection = ends_with_connection;
+        result.partial_event_bytes = state.events.partial.size();
+        co_return result;
     }
     connection->expires = std::min(state.deadline, std::max(limit, event_loop::now()));
-    co_return co_await relay_buffered(state, connection, std::move(head), running.ticket);
+    auto result = co_await relay_buffered(state, connection, std::move(head), running.ticket);
+    result.ends_with_connection = ends_with_connection;
+    co_return result;
 }
 
 asio::awaitable<std::shared_ptr<endpoint_connection>>
@@ -420,6 +426,7 @@
     state.caller.set_connection(connection);
     start_sending(connection, format_request_head(state, chosen, event_loop::now()), state.request.body());
     auto end = co_await relay_answer(state, connection, running, limit);
+    end.reused_connection = connection->reused;
     state.caller.set_connection(nullptr);
     if (end.caller_disconnected) {
         connection->close();
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -52,6 +52,9 @@
     bool caller_disconnected = false;
     bool unsent = false;    ///< Whether nothing was sent to the endpoint, so that a retry is not charged.
     bool timed_out = false; ///< Whether the endpoint did not respond in time.
+    bool reused_connection = false;            ///< Whether the connection had carried other requests.
+    bool ends_with_connection = false;         ///< Whether the response had neither length nor chunks.
+    std::size_t partial_event_bytes = 0;       ///< Received bytes of an event whose end did not arrive.
     std::optional<buffered_response> answer{}; ///< Error response of the endpoint.
     dispatch::request_outcome sign = dispatch::request_outcome::succeeded;
 };
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -349,8 +349,11 @@
             this->server.crashes->waiting.erase(running.ticket);
             this->check_broken_attempt(end, running);
             dispatch::record_end(this->server.fleet, running, end.sign, now);
-            if (end.outcome.reason == failure::connection_broken) {
-                log_cut_attempt(this->state, running, this->log.endpoint, this->log.attempts);
+            this->log.reused_connection = end.reused_connection;
+            this->log.ends_with_connection = end.ends_with_connection;
+            if (end.outcome.reason == failure::connection_broken ||
+                end.outcome.reason == failure::garbled_answer) {
+                log_cut_attempt(this->state, this->log, running, end);
             }
             this->record_output_length(end);
             this->record_timeliness();
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -61,6 +61,8 @@
         .with("left_ms", core::elapsed(event_loop::now(), state.deadline).count() / 1000)
         .with("in_share", log.within_share)
         .with("read_again", log.read_again)
+        .with("reused", log.reused_connection)
+        .with("unframed", log.ends_with_connection)
         .with("version", state.table ? state.table->version : 0)
         .with("leaving", server.shutting_down);
     if (!log.detail.empty()) {
@@ -70,9 +72,9 @@
 }
 
 void log_cut_attempt(const request_state& state,
+                     const request_log& log,
                      const dispatch::running_request& running,
-                     std::string_view endpoint,
-                     std::uint32_t attempt)
+                     const attempt_result& end)
 {
     if (!telemetry::admit_line()) {
         return;
@@ -80,9 +82,15 @@
     const auto& generation = state.metadata.generation;
     telemetry::write(telemetry::log_event{"attempt_cut"}
                          .with("id", state.metadata.id)
-                         .with("endpoint", endpoint)
-                         .with("attempt", attempt)
+                         .with("endpoint", log.endpoint)
+                         .with("attempt", log.attempts)
+                         .with("reason", core::to_string(end.outcome.reason))
                          .with("begun", running.first_event_seen)
+                         .with("head_sent", state.head_sent)
+                         .with("last_event", state.events.last_id.value_or("-"))
+                         .with("partial_bytes", end.partial_event_bytes)
+                         .with("reused", end.reused_connection)
+                         .with("unframed", end.ends_with_connection)
                          .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
                          .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
                          .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
--- a/src/relay/request_log.hpp
+++ b/src/relay/request_log.hpp
@@ -19,6 +19,8 @@
     std::uint32_t read_again = 0;
     std::uint32_t considered = 0;
     bool within_share = true;
+    bool reused_connection = false;    ///< Of the last attempt, like the next.
+    bool ends_with_connection = false; ///< Whether the response had neither length nor chunks.
     std::string endpoint;
     std::string detail;
 };
@@ -26,11 +28,11 @@
 /// @brief Logs the final response to a request.
 void log_request(const request_state& state, const request_log& log);
 
-/// @brief Logs an attempt whose connection to the endpoint broke before the response was complete.
+/// @brief Logs an attempt whose response broke off or could not be read.
 void log_cut_attempt(const request_state& state,
+                     const request_log& log,
                      const dispatch::running_request& running,
-                     std::string_view endpoint,
-                     std::uint32_t attempt);
+                     const attempt_result& end);
 
 /// @brief The ids of segments in hexadecimal, separated by commas.
 [[nodiscard]] std::string format_segments(std::span<const std::uint64_t> segments);
