Take only well-formed events with increasing ids from an endpoint's stream

What callers could see: the text of an error, or the whole head of an HTTP response, in the middle of their stream, which then ended as if it were complete; the same for an event that came twice. Cause: the event scanner passed on any block up to an empty line. A response without length takes in whatever the endpoint writes after its events, so that an error's head and body were events to it; ids were compared only once, at the first event after a resume. Evidence, on the code before: text_that_is_no_event_is_malformed fails for each of its 14 texts, the tests of the ids as well. an_error_of_a_later_attempt_is_not_passed_on_inside_a_stream fails at "events(1, second.valid_events).starts_with(body.text)" and "!body.complete" for an error instead of an event, after events, inside an event, JSON after events, data without id and an event twice. It holds on the code before for errors with and without signature, refusals and successes without signature: an error response of a later attempt is not passed on once the head is sent. Change: a line is a comment, a field of events, or a header line `name: value` ahead of the fields; header lines alone are no event. Fields of one event end alike and it has one id, so that a head written into an event is found as well. In a stream with a number as id, ids increase and all data but the end mark has one. Otherwise the attempt ends as garbled and the stream is resumed after the last event that the caller got, or breaks off. Gaps between ids inside one response are accepted, since endpoints choose their steps. Data cut off inside its line and followed by the rest of another event's line cannot be told from an event. Why it works: no status line, JSON or plain text is a line of an event, and events of a restarted run do not increase. a_slow_reader_holds_the_engine_back_and_is_let_go: its engine sent one id again and again, which is refused now; it numbers its events, the checks are the same.

--- a/src/traffic/event_scanner.cpp
+++ b/src/traffic/event_scanner.cpp
@@ -1,6 +1,7 @@
 #include "hibiscusfall/traffic/event_scanner.hpp"
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -22,42 +23,71 @@
     return number;
 }
 
-/// The value of a line "field: value" when it has this field.
-std::optional<std::string_view> field_value(std::string_view line, std::string_view field)
+bool is_header_name(std::string_view name)
 {
-    if (!line.starts_with(field) || line.size() <= field.size() || line[field.size()] != ':') {
-        return std::nullopt;
-    }
-    auto value = line.substr(field.size() + 1);
-    if (value.starts_with(' ')) {
-        value.remove_prefix(1);
-    }
-    return value;
+    return !name.empty() && std::all_of(name.begin(), name.end(), [](unsigned char each) {
+        return std::isalnum(each) != 0 || each == '-' || each == '_';
+    });
+}
+
+bool is_event_field(std::string_view name)
+{
+    return name == "data" || name == "id" || name == "event" || name == "retry";
 }
 
 struct event_fields {
     std::optional<std::string_view> id;
+    std::optional<bool> ends_with_cr; ///< Whether its fields end with CR LF; none without fields.
     bool has_data = false;
+    bool has_headers = false;
     bool is_end = false;
 };
 
-event_fields read_event(std::string_view text)
+/// Reads a line without its line end. Returns false if it cannot be part of the event.
+bool read_line(event_fields& fields, std::string_view line, bool ends_with_cr)
+{
+    if (line.empty() || line.starts_with(':')) {
+        return true;
+    }
+    const auto name = line.substr(0, line.find(':'));
+    if (!is_event_field(name)) {
+        // After a field, a header line may belong to the head of a response that was written into the event.
+        fields.has_headers = true;
+        return name.size() < line.size() && is_header_name(name) && !fields.ends_with_cr;
+    }
+    auto value = line.substr(std::min(name.size() + 1, line.size()));
+    if (value.starts_with(' ')) {
+        value.remove_prefix(1);
+    }
+    const bool same_end = fields.ends_with_cr.value_or(ends_with_cr) == ends_with_cr;
+    fields.ends_with_cr = ends_with_cr;
+    if (name == "id") {
+        return same_end && !std::exchange(fields.id, value);
+    }
+    if (name == "data") {
+        fields.has_data = true;
+        fields.is_end = fields.is_end || value == end_mark;
+    }
+    return same_end;
+}
+
+/// Returns nothing if the text is no event.
+std::optional<event_fields> read_event(std::string_view text)
 {
     event_fields fields;
     while (!text.empty()) {
         const auto length = std::min(text.find('\n'), text.size());
         auto line = text.substr(0, length);
         text.remove_prefix(std::min(length + 1, text.size()));
-        if (line.ends_with('\r')) {
-            line.remove_suffix(1);
-        }
-        if (const auto id = field_value(line, "id")) {
-            fields.id = id;
-        } else if (const auto data = field_value(line, "data")) {
-            fields.has_data = true;
-            fields.is_end = fields.is_end || *data == end_mark;
+        const bool ends_with_cr = line.ends_with('\r');
+        line.remove_suffix(ends_with_cr ? 1 : 0);
+        if (!read_line(fields, line, ends_with_cr)) {
+            return std::nullopt;
         }
     }
+    if (fields.has_headers && !fields.has_data && !fields.id) {
+        return std::nullopt;
+    }
     return fields;
 }
 
@@ -78,18 +108,27 @@
 
 scan_fault take_event(event_scanner& scanner, std::string_view text)
 {
-    const auto fields = read_event(text);
+    const auto read = read_event(text);
+    if (!read) {
+        return scan_fault::malformed;
+    }
+    const auto& fields = *read;
     auto& progress = scanner.progress;
     if (progress.ended && fields.has_data) {
         return scan_fault::after_end;
     }
+    const auto number = fields.id ? to_number(*fields.id) : std::nullopt;
+    const bool needs_number = !fields.is_end && (fields.has_data || fields.id);
     if (scanner.expected_id && (fields.has_data || fields.id)) {
-        const auto number = fields.id ? to_number(*fields.id) : std::nullopt;
-        if (!fields.is_end && number != scanner.expected_id) {
+        if (needs_number && number != scanner.expected_id) {
             return scan_fault::not_continued;
         }
         scanner.expected_id.reset();
     }
+    const auto last_number = progress.last_id ? to_number(*progress.last_id) : std::nullopt;
+    if (last_number && needs_number && (!number || *number <= *last_number)) {
+        return scan_fault::id_not_increasing;
+    }
     if (fields.id) {
         progress.last_id = std::string{*fields.id};
     }
--- a/tests/traffic/event_scanner_test.cpp
+++ b/tests/traffic/event_scanner_test.cpp
@@ -98,4 +98,109 @@
                number(scan_fault::after_end));
 }
 
+BOOST_AUTO_TEST_CASE(text_that_is_no_event_is_malformed)
+{
+    const std::string http_head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\n";
+    const std::string text[] = {
+        http_head,
+        "HTTP/1.1 503 Service Unavailable\r\n\r\n",
+        "Internal Server Error\n\n",
+        "Error\n\n",
+        "error: out of memory\n\n",
+        "Content-Type: application/json\r\nContent-Length: 14\r\n\r\n",
+        ": comment\nserver: x\n\n",
+        "{\"error\":\"no\"}\n\n",
+        "<html>\n\n",
+        "id: 3\ndata: {\"te" + http_head,
+        "id: 3\r\ndata: {\"te" + http_head,
+        "id: 3\ndata: {\"teHTTP/1.1 503 Service Unavailable\r\n\r\n",
+        "id: 3\n" + event(3),
+        "id: 3\ndata: {\"te\nxt\"}\n\n",
+    };
+    for (const auto& each : text) {
+        BOOST_TEST_CONTEXT(each)
+        {
+            traffic::event_scanner scanner;
+            BOOST_TEST(number(traffic::feed(scanner, event(1) + event(2) + each)) ==
+                       number(scan_fault::malformed));
+            BOOST_TEST(scanner.ready == event(1) + event(2));
+            BOOST_TEST(scanner.progress.last_id.value_or("") == "2");
+            BOOST_TEST(scanner.progress.tokens == 2U);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(header_lines_comments_and_all_fields_of_events_are_accepted)
+{
+    const std::string text[] = {
+        event(1),
+        event(1, "\r\n"),
+        "x-weight-versions: 3\n" + event(1),
+        "x-weight-versions: 3\r\n" + event(1, "\r\n"),
+        "event: token\nid: 1\ndata: first\ndata: second\ndata\nretry: 100\n\n",
+        "id:1\ndata:x\n\n",
+        "data: x\nid: 1\n\n",
+        ": comment\n\n",
+        ":\n\n",
+        "retry: 3000\n\n",
+        "\n\n",
+    };
+    for (const auto& each : text) {
+        BOOST_TEST_CONTEXT(each)
+        {
+            traffic::event_scanner scanner;
+            const auto whole = event(0) + each + event(2);
+            BOOST_TEST(number(traffic::feed(scanner, whole)) == number(scan_fault::none));
+            BOOST_TEST(scanner.ready == whole);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_id_that_does_not_increase_is_refused)
+{
+    for (const auto& each : {event(3), event(2), event(0), std::string{"id: 3\n\n"}}) {
+        BOOST_TEST_CONTEXT(each)
+        {
+            traffic::event_scanner scanner;
+            BOOST_TEST(number(traffic::feed(scanner, event(1) + event(3) + each)) ==
+                       number(scan_fault::id_not_increasing));
+            BOOST_TEST(scanner.ready == event(1) + event(3));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(data_without_a_number_inside_a_numbered_stream_is_refused)
+{
+    for (const std::string each : {"data: {}\n\n",
+                                   "event: error\ndata: {}\n\n",
+                                   "id: a\ndata: {}\n\n",
+                                   "id\ndata: {}\n\n",
+                                   "id: 99999999999999999999\ndata: {}\n\n"}) {
+        BOOST_TEST_CONTEXT(each)
+        {
+            traffic::event_scanner scanner;
+            BOOST_TEST(number(traffic::feed(scanner, event(1) + each)) ==
+                       number(scan_fault::id_not_increasing));
+            BOOST_TEST(scanner.ready == event(1));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_ids_are_no_numbers_is_not_checked_for_their_order)
+{
+    traffic::event_scanner scanner;
+    const std::string text = "id: b\ndata: 1\n\ndata: 2\n\nid: a\ndata: 3\n\nid: a\ndata: 4\n\n";
+    BOOST_TEST(number(traffic::feed(scanner, text)) == number(scan_fault::none));
+    BOOST_TEST(scanner.ready == text);
+}
+
+BOOST_AUTO_TEST_CASE(ids_of_a_resumed_stream_increase_beyond_what_was_delivered)
+{
+    auto scanner = traffic::continue_after({.tokens = 4, .last_id = "7"});
+    BOOST_REQUIRE(scanner.has_value());
+    BOOST_TEST(number(traffic::feed(*scanner, ": comment\n\n" + event(8) + event(9) + event(8))) ==
+               number(scan_fault::id_not_increasing));
+    BOOST_TEST(scanner->ready == ": comment\n\n" + event(8) + event(9));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/traffic/stream_test.cpp
+++ b/tests/traffic/stream_test.cpp
@@ -222,9 +222,13 @@
                 return;
             }
             connection.write(stream_head());
-            const auto piece = chunk("id: 1\ndata: " + std::string(65536, 'x') + "\n\n");
+            const auto data = "\ndata: " + std::string(65536, 'x') + "\n\n";
             constexpr std::size_t most = 256U << 20U;
-            while (sent < most && connection.try_write(piece)) {
+            for (int id = 0; sent < most; ++id) {
+                const auto piece = chunk("id: " + std::to_string(id) + data);
+                if (!connection.try_write(piece)) {
+                    break;
+                }
                 sent += piece.size();
             }
             closed = true;
