Scan only event streams for events, and resume none with another answer

What callers saw: on a stream route a signed 200 with a JSON body became a 502, or, with blank lines in it, a chunked answer whose bytes had passed the event scanner; a signed 204 became a 204 with chunks, which are bytes of no answer on a kept connection. As the second attempt of a begun stream a 204 ended it as if it were complete. Cause: each signed success on a stream route was relayed as events, whatever its status and content type. Evidence, on the code before: a_whole_answer_that_is_no_stream_is_passed_on_as_it_is fails at "answer.starts_with("HTTP/1.1 200")" (JSON), a_204_on_a_stream_route_has_no_body at "!answer.ends_with(last_chunk)", and an_error_of_a_later_attempt_is_not_passed_on_inside_a_stream at "!body.complete" for the 204. Change: only a 200 of type text/event-stream, or without a type, is a stream of events. Other successes are passed on whole, as on other routes. After the head of a stream was sent they are garbled answers, and the stream is resumed elsewhere or breaks off. Result: test_relay passes.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -270,6 +270,16 @@
     co_return result;
 }
 
+/// Whether the response is a stream of events. Endpoints may omit the content type.
+bool is_event_stream(const response_head& head)
+{
+    constexpr std::string_view event_type = "text/event-stream";
+    const auto type = to_view(head[http::field::content_type]);
+    return head.result() == http::status::ok &&
+           (type.empty() ||
+            beast::iequals(to_beast(type.substr(0, event_type.size())), to_beast(event_type)));
+}
+
 /// Records the shutdown and back-off announcements in the headers of a response.
 void record_announcements(relay_server& server,
                           dispatch::endpoint_tag tag,
@@ -329,7 +339,14 @@
     record_announcements(state.server, connection->endpoint, metadata, event_loop::now());
     const bool success = head->get().result_int() / 100 == 2;
     const bool ends_with_connection = head->need_eof();
-    if (state.route->kind == catalog::route_kind::stream && success && metadata.is_signed &&
+    const bool is_stream = is_event_stream(head->get());
+    if (state.head_sent && success && !is_stream) {
+        connection->close();
+        co_return failed(
+            verdict::may_have_run(failure::garbled_answer, "the response to a resumed request is no stream"),
+            request_outcome::failed);
+    }
+    if (state.route->kind == catalog::route_kind::stream && is_stream && metadata.is_signed &&
         !metadata.request_id.empty()) {
         auto scanner = state.head_sent ? traffic::continue_after(state.delivered) : traffic::event_scanner{};
         if (!scanner) {
--- a/tests/relay/error_in_stream_test.cpp
+++ b/tests/relay/error_in_stream_test.cpp
@@ -111,6 +111,8 @@
         {"signed JSON", status(200, "X-Signature: s\r\n" + json_type, json)},
         {"signed JSON with a blank line", status(200, "X-Signature: s\r\n" + json_type, json + "\n\n")},
         {"unsigned stream", status(200, event_type, numbered_event(4))},
+        {"signed 204",
+         [](const received_request& request) { return answer_head(204, request.id, "X-Signature: s\r\n"); }},
         {"refusal", [](const received_request& request) { return not_run_answer(request.id); }},
         {"refusal as 421", status(421, "X-Not-Run: 1\r\n", json)},
         {"error instead of an event", unframed([=](int) { return error_head + "error\n\n"; })},
@@ -193,4 +195,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_whole_answer_that_is_no_stream_is_passed_on_as_it_is)
+{
+    for (const std::string body : {R"({"answer":"no stream"})", "first line\n\nsecond line"}) {
+        const auto script = [&body](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            connection.write(
+                answer_head(200,
+                            request->id,
+                            "X-Signature: s\r\nContent-Type: application/json\r\nContent-Length: " +
+                                std::to_string(body.size()) + "\r\n") +
+                body);
+            connection.wait_for_close();
+        };
+        relay_fixture fixture{{script}, route_of(route_kind::stream)};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+        BOOST_TEST(answer.find("Content-Length: " + std::to_string(body.size())) != std::string::npos);
+        BOOST_TEST(answer.ends_with("\r\n\r\n" + body));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_204_on_a_stream_route_has_no_body)
+{
+    const auto script = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(answer_head(204, request->id, "X-Signature: s\r\n"));
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{script}, route_of(route_kind::stream)};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 204"));
+    BOOST_TEST(answer.ends_with("\r\n\r\n"));
+    BOOST_TEST(!answer.ends_with(last_chunk));
+    BOOST_TEST(answer.find("Transfer-Encoding") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
