Use no connection again that has brought an answer without a request id

What callers saw: an endpoint wrote an earlier refusal once more on a kept connection, after the next request had been sent there. That request was running and was answered 503, not run; with a second endpoint it ran there too. Cause: an answer without a request id was taken as the answer to the current request, on a connection that had brought such an answer before. Nothing tells the two apart. A refusal that names an earlier request was dropped before, too; the test now says so. Change: a connection on which an answer without an id was read is closed after it. So each answer that a kept connection has brought named its request; one without an id can be no copy of any of them and belongs to the current request. The second copy may come at once, late, or after the next request was sent: that request is on another connection. Weighed: to keep the connection and not to believe the next refusal without an id on it. Refusals come in a row when endpoints are full, so that true ones would end as 502 or at the route's limit of attempts, and a request that must not repeat would be lost, for the price of one connection. To keep it for requests that may repeat only: these would still be told a false "not run", and their late answers would have to be dropped. Refusals that name their request, and all other answers that do, keep their connections. To drop all answers without an id: refusals on this platform may come without one.

--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -118,7 +118,13 @@
             continue;
         }
         const auto metadata = http_dialect.read_response(result->get());
-        if (metadata.request_id.empty() || metadata.request_id == request_id) {
+        if (metadata.request_id.empty()) {
+            // Only its place on the connection ties it to the request. A later response without an id could
+            // be this one once more.
+            connection->broken = true;
+            co_return read_result::complete;
+        }
+        if (metadata.request_id == request_id) {
             co_return read_result::complete;
         }
         ++dropped;
--- a/src/relay/endpoint_answer.hpp
+++ b/src/relay/endpoint_answer.hpp
@@ -38,6 +38,8 @@
 
 /// @brief Reads the head of the response to a request. Complete responses to other requests that precede it
 /// are dropped and counted.
+/// @remarks A response without a request id belongs to the request, since the connection has brought none
+/// before: after one the connection is marked as broken.
 asio::awaitable<read_result> read_head(std::shared_ptr<endpoint_connection> connection,
                                        const dialect& http_dialect,
                                        std::string_view request_id,
--- /dev/null
+++ b/tests/relay/repeated_refusal_test.cpp
@@ -0,0 +1,111 @@
+#include "relay_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace hibiscusfall;
+using namespace hibiscusfall::testing;
+using catalog::route_kind;
+
+namespace
+{
+
+/// A refusal that names no request.
+const std::string unnamed_refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Refuses request "1". Answers the first request of a connection; a later one runs while the connection
+/// brings the earlier refusal once more.
+scripted_endpoint::script repeating(std::string refusal)
+{
+    return [refusal = std::move(refusal)](endpoint_connection& connection) {
+        bool refused = false;
+        while (const auto request = connection.read_request()) {
+            if (refused || request->id == "1") {
+                refused = true;
+                connection.write(refusal);
+            }
+            if (request->id != "1") {
+                connection.write(signed_answer(request->id, "ran"));
+            }
+        }
+    };
+}
+
+std::size_t arrivals(const relay_fixture& fixture, std::string_view id)
+{
+    const auto requests = fixture.received();
+    return static_cast<std::size_t>(std::count_if(
+        requests.begin(), requests.end(), [id](const auto& request) { return request.id == id; }));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(repeated_refusal_test)
+
+BOOST_AUTO_TEST_CASE(a_refusal_written_again_does_not_deny_a_request_that_runs)
+{
+    relay_fixture fixture{{repeating(unnamed_refusal)}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 503"));
+    const auto answer = fixture.ask(request_bytes("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(answer.ends_with("ran"), answer);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_written_again_does_not_send_a_request_that_runs_to_a_second_endpoint)
+{
+    relay_fixture fixture{{repeating(unnamed_refusal), repeating(unnamed_refusal)}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 503"));
+    const auto answer = fixture.ask(request_bytes("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(arrivals(fixture, "2") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_is_not_denied_by_a_refusal_written_again)
+{
+    const auto streaming = [](endpoint_connection& connection) {
+        bool refused = false;
+        while (const auto request = connection.read_request()) {
+            if (refused || request->id == "1") {
+                refused = true;
+                connection.write(unnamed_refusal);
+            }
+            if (request->id != "1") {
+                connection.write(signed_stream_head(request->id) + chunk(numbered_event(0)) + "0\r\n\r\n");
+            }
+        }
+    };
+    relay_fixture fixture{{streaming, streaming}, route_of(route_kind::stream)};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 503"));
+    const auto answer = fixture.ask(request_bytes("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    BOOST_TEST(arrivals(fixture, "2") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_that_names_an_earlier_request_is_dropped_on_a_connection_that_is_kept)
+{
+    relay_fixture fixture{{repeating(not_run_answer("1"))}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 503"));
+    const auto answer = fixture.ask(request_bytes("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+    fixture.run_on_loop([](relay::relay_server& entry) {
+        BOOST_TEST(entry.counters.mismatched_responses == 1U); // it came on the kept connection
+    });
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_is_believed_on_a_kept_connection_that_brought_none_before)
+{
+    const auto refusing_second = [](endpoint_connection& connection) {
+        bool answered = false;
+        while (const auto request = connection.read_request()) {
+            connection.write(answered ? unnamed_refusal : signed_answer(request->id, "ran"));
+            answered = true;
+        }
+    };
+    relay_fixture fixture{{refusing_second}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(fixture.ask(request_bytes("2")).starts_with("HTTP/1.1 503"));
+    BOOST_TEST(fixture.ask(request_bytes("3")).starts_with("HTTP/1.1 200"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
