Drop no answer to an earlier request whose end a HEAD request leaves open

What callers saw: with an answer to an earlier request in front, the body of an answer could be read as the head of the next: of the earlier answer if the current request is HEAD, of the own answer if the earlier one was. A body with a refusal in it, without an id, was told as 503, not run. Cause: an answer that is dropped was read by the method of the current request. Which method it answers is unknown. Evidence: the_body_of_an_earlier_answer_is_not_taken_as_a_refusal_of_a_head_request and an_answer_that_follows_one_to_an_earlier_head_request_is_not_taken_as_a_refusal failed on the code before: 503 in place of 502. Change: on a connection that has carried a HEAD request, an answer to another request makes the rest unreadable; the result is "may have run" and the connection is closed. Others are dropped as before.

--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -104,6 +104,7 @@
                                        std::unique_ptr<head_parser>& result,
                                        std::uint64_t& mismatched_responses)
 {
+    connection->carried_head_request = connection->carried_head_request || head_request;
     int interim = 0;
     for (int dropped = 0; dropped <= max_mismatched_responses && interim <= max_interim_responses;) {
         result = std::make_unique<head_parser>();
@@ -129,7 +130,8 @@
         }
         ++dropped;
         ++mismatched_responses;
-        if (result->need_eof()) {
+        // The end of the response is unknown if its connection ends it, or if it may answer a HEAD request.
+        if (result->need_eof() || connection->carried_head_request) {
             co_return read_result::malformed;
         }
         buffered_parser foreign{std::move(*result)};
--- a/src/relay/endpoint_connection.hpp
+++ b/src/relay/endpoint_connection.hpp
@@ -32,8 +32,9 @@
     core::instant idle_since{};
     core::duration idle_limit{};
     bool reused = false;
-    bool broken = false; ///< Whether the connection must not be reused.
-    std::string request; ///< Bytes being sent; must outlive the write.
+    bool broken = false;               ///< Whether the connection must not be reused.
+    bool carried_head_request = false; ///< Whether a response may have no body whatever its headers say.
+    std::string request;               ///< Bytes being sent; must outlive the write.
     std::size_t sent_bytes = 0;
     bool sent_all = false;
     bool send_failed = false;
--- a/tests/relay/repeated_refusal_test.cpp
+++ b/tests/relay/repeated_refusal_test.cpp
@@ -33,6 +33,12 @@
     };
 }
 
+std::string head_request(std::string_view id)
+{
+    return "HEAD /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: secret\r\nX-Request-Id: " + std::string{id} +
+           "\r\nConnection: close\r\n\r\n";
+}
+
 std::size_t arrivals(const relay_fixture& fixture, std::string_view id)
 {
     const auto requests = fixture.received();
@@ -151,4 +157,45 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_body_of_an_earlier_answer_is_not_taken_as_a_refusal_of_a_head_request)
+{
+    const auto late = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_answer("1", unnamed_refusal));
+            if (request->id != "1") {
+                connection.wait_for_close(); // the request runs
+            }
+        }
+    };
+    relay_fixture fixture{{late}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 200"));
+    const auto answer = fixture.ask(head_request("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    fixture.run_on_loop([](relay::relay_server& entry) {
+        BOOST_TEST(entry.counters.mismatched_responses == 1U); // the request came on the kept connection
+    });
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_follows_one_to_an_earlier_head_request_is_not_taken_as_a_refusal)
+{
+    const auto late = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            const auto own = signed_answer(request->id, unnamed_refusal);
+            const auto own_head_bytes = own.size() - unnamed_refusal.size();
+            connection.write("HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: 1\r\nContent-Length: " +
+                             std::to_string(own_head_bytes) + "\r\n\r\n");
+            if (request->id != "1") {
+                connection.write(own);
+            }
+        }
+    };
+    relay_fixture fixture{{late}};
+    BOOST_TEST(fixture.ask(head_request("1")).starts_with("HTTP/1.1 200"));
+    const auto answer = fixture.ask(request_bytes("2"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    fixture.run_on_loop([](relay::relay_server& entry) {
+        BOOST_TEST(entry.counters.mismatched_responses == 1U); // the request came on the kept connection
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
