--- a/tests/adapter/decoding_test.cpp
+++ b/tests/adapter/decoding_test.cpp
@@ -115,6 +115,68 @@
     BOOST_TEST(!adapter::read_endpoint("", endpoint, problem).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_with_a_number_out_of_its_range_names_no_endpoint)
+{
+    for (const auto* slots :
+         {"1e300", "5000000000", "65537", "1073741824", "-1", "0.5", "1e400", "null", "true"}) {
+        std::string problem;
+        const auto bad = replaced(endpoint, "\"slots\":64", "\"slots\":" + std::string{slots});
+        BOOST_TEST(!adapter::read_endpoint("i-1", bad, problem).has_value(), bad);
+        BOOST_TEST(!problem.empty());
+    }
+    for (const auto* born :
+         {"18446744073709551615", "1e300", "-1", "1790000000123.5", "\"1790000000123\"", "null"}) {
+        std::string problem;
+        const auto bad = replaced(endpoint, "1790000000123", born);
+        BOOST_TEST(!adapter::read_endpoint("i-1", bad, problem).has_value(), bad);
+        BOOST_TEST(problem.find("born") != std::string::npos, problem);
+    }
+    std::string problem;
+    const auto with_fraction =
+        adapter::read_endpoint("i-1", replaced(endpoint, "\"slots\":64", "\"slots\":64.0"), problem);
+    BOOST_REQUIRE(with_fraction.has_value());
+    BOOST_TEST(with_fraction->slots == 64U);
+    const auto without_start =
+        adapter::read_endpoint("i-1", replaced(endpoint, ",\"born\":1790000000123", ""), problem);
+    BOOST_REQUIRE(without_start.has_value());
+    BOOST_TEST(without_start->start_time_ms == 0);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_the_address_of_a_host_names_no_endpoint)
+{
+    for (const auto* address : {"nowhere:80",
+                                "10.0.0.9:70000",
+                                "10.0.0.9:0",
+                                "10.0.0.9:-1",
+                                "10.0.0.9:",
+                                "10.0.0.9:80 ",
+                                "10.0.0:80",
+                                "10.0.0.256:80",
+                                "[::1]:80",
+                                "::1:80",
+                                "0.0.0.0:80",
+                                "224.0.0.1:80",
+                                "10.0.0.9\\u0000:80"}) {
+        std::string problem;
+        const auto bad = replaced(endpoint, "10.0.0.9:8080", address);
+        BOOST_TEST(!adapter::read_endpoint("i-1", bad, problem).has_value(), bad);
+        BOOST_TEST(problem.find("address") != std::string::npos, problem);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_whose_service_or_zone_is_no_name_names_no_endpoint)
+{
+    const std::string long_name(201, 'a');
+    for (const auto& name : {std::string{}, std::string{"a\\nb"}, std::string{"\\u0000"}, long_name}) {
+        std::string problem;
+        BOOST_TEST(!adapter::read_endpoint("i-1", replaced(endpoint, "s1", name), problem).has_value(), name);
+        BOOST_TEST(problem.find("service") != std::string::npos, problem);
+        BOOST_TEST(!adapter::read_endpoint("i-1", replaced(endpoint, "north", name), problem).has_value(),
+                   name);
+        BOOST_TEST(problem.find("zone") != std::string::npos, problem);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_read_without_harm)
 {
     BOOST_TEST(rc::check("reading gives a result or a reason", [] {
