--- a/tests/adapter/decoding_test.cpp
+++ b/tests/adapter/decoding_test.cpp
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace hibiscusfall;
 using namespace std::chrono_literals;
 
@@ -177,6 +179,55 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_is_nested_deeply_or_long_names_no_endpoint)
+{
+    const auto nested = [](std::size_t levels) {
+        return std::string(levels, '[') + std::string(levels, ']');
+    };
+    for (const std::size_t levels : {100U, 8000U, 500000U}) {
+        std::string problem;
+        const auto bad = replaced(endpoint, "\"v1\"", nested(levels));
+        BOOST_TEST(!adapter::read_endpoint("i-1", bad, problem).has_value(), levels);
+        BOOST_TEST(!problem.empty());
+        BOOST_TEST(!adapter::read_endpoint("i-1", nested(levels), problem).has_value());
+    }
+    std::string problem;
+    const auto padded = replaced(endpoint, "\"v1\"", "\"" + std::string(1U << 20U, 'v') + "\"");
+    BOOST_TEST(!adapter::read_endpoint("i-1", padded, problem).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_deeply_nested_part_of_a_configuration_is_ignored_and_the_rest_of_the_version_holds)
+{
+    constexpr std::size_t levels = 500000;
+    std::string problem;
+    const auto table = adapter::read_configuration(
+        replaced(configuration, "[1]", std::string(levels, '[') + std::string(levels, ']')), problem);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+    BOOST_TEST(table->routes.size() == 2U);
+    BOOST_TEST(catalog::find_team(*table, "k2")->id.view() == "t1");
+    BOOST_TEST(problem.find("nest") != std::string::npos, problem);
+    BOOST_TEST(!adapter::read_configuration(std::string(levels, '[') + std::string(levels, ']'), problem)
+                    .has_value());
+    BOOST_TEST(!problem.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_reason_for_a_long_value_is_short_and_printable)
+{
+    for (const auto& bad : {"{\"service\":\"" + std::string(1U << 20U, 'a'),
+                            "{\"service\":\"" + std::string(1U << 20U, '\xff'),
+                            std::string{"{\"a\":\"\x1b[31m\"}"},
+                            std::string(8000, '7') + "x"}) {
+        for (const bool as_entry : {true, false}) {
+            std::string problem;
+            BOOST_TEST((as_entry ? !adapter::read_endpoint("i-1", bad, problem).has_value()
+                                 : !adapter::read_configuration(bad, problem).has_value()));
+            BOOST_TEST((!problem.empty() && problem.size() <= 200U));
+            BOOST_TEST(std::all_of(
+                problem.begin(), problem.end(), [](char each) { return each >= ' ' && each <= '~'; }));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_read_without_harm)
 {
     BOOST_TEST(rc::check("reading gives a result or a reason", [] {
