Let the stand-in of the store be restored from a copy

For tests of an operator's drill: the store is away for a moment and comes back from an earlier copy. Keys and revision go back, its history is gone and Store-Era, which every response carries, rises by one. A watch from a revision that the store does not have gets 410; from one that it has again it goes on. Tests can also leave the header out or send another text in it.

--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -91,6 +91,48 @@
     this->compacted_revision = ++this->revision;
 }
 
+platform_store::copy platform_store::snapshot()
+{
+    const std::lock_guard lock(this->mutex);
+    return {.items = this->items, .revision = this->revision};
+}
+
+void platform_store::restore(const copy& earlier)
+{
+    const std::lock_guard lock(this->mutex);
+    this->items = earlier.items;
+    this->revision = earlier.revision;
+    this->history.clear();
+    this->compacted_revision = earlier.revision;
+    ++this->era;
+}
+
+void platform_store::set_era_header(std::optional<std::string> text)
+{
+    const std::lock_guard lock(this->mutex);
+    this->custom_era_header = true;
+    this->era_header = std::move(text);
+}
+
+void platform_store::reset_era_header()
+{
+    const std::lock_guard lock(this->mutex);
+    this->custom_era_header = false;
+}
+
+std::uint64_t platform_store::current_era()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->era;
+}
+
+platform_store::answer platform_store::make_answer(unsigned status, std::string body) const
+{
+    return {.status = status,
+            .body = std::move(body),
+            .era = this->custom_era_header ? this->era_header : std::to_string(this->era)};
+}
+
 void platform_store::serve(asio::ip::tcp::socket socket)
 {
     boost::beast::flat_buffer buffer;
@@ -121,32 +163,34 @@
         while (this->active_fault == fault::unresponsive && !this->stopping) {
             std::this_thread::sleep_for(1ms);
         }
-        unsigned status = 200;
-        std::string body;
+        answer sent;
         if (kind == fault::unavailable) {
-            status = 503;
+            const std::lock_guard lock(this->mutex);
+            sent = this->make_answer(503, {});
         } else {
-            body = this->handle(std::string{request.target()}, status);
+            sent = this->handle(std::string{request.target()});
+        }
+        http::response<http::string_body> response{static_cast<http::status>(sent.status), 11};
+        if (sent.era) {
+            response.set("Store-Era", *sent.era);
         }
-        http::response<http::string_body> response{static_cast<http::status>(status), 11};
-        response.body() = body;
+        response.body() = sent.body;
         response.prepare_payload();
         http::write(socket, response, error);
     }
 }
 
-std::string platform_store::handle(const std::string& target, unsigned& status)
+platform_store::answer platform_store::handle(const std::string& target)
 {
     const auto prefix = query_parameter(target, "path-prefix");
     const auto after = query_parameter(target, "after");
     if (target.starts_with("/api/kv-range")) {
         return this->handle_range(prefix, after);
     }
-    return this->handle_watch(
-        prefix, std::stoull(after), std::stoi(query_parameter(target, "wait-ms")), status);
+    return this->handle_watch(prefix, std::stoull(after), std::stoi(query_parameter(target, "wait-ms")));
 }
 
-std::string platform_store::handle_range(const std::string& prefix, const std::string& after)
+platform_store::answer platform_store::handle_range(const std::string& prefix, const std::string& after)
 {
     const std::lock_guard lock(this->mutex);
     json page_items = json::array();
@@ -162,19 +206,19 @@
         page_items.push_back(
             {{"key", key}, {"value", encoding::to_base64(stored.value)}, {"revision", stored.revision}});
     }
-    return json{{"items", page_items}, {"has-more", has_more}, {"as-of", this->revision}}.dump();
+    return this->make_answer(
+        200, json{{"items", page_items}, {"has-more", has_more}, {"as-of", this->revision}}.dump());
 }
 
-std::string
-platform_store::handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms, unsigned& status)
+platform_store::answer
+platform_store::handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms)
 {
     const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds{wait_ms};
     while (true) {
         {
             const std::lock_guard lock(this->mutex);
-            if (after < this->compacted_revision) {
-                status = 410;
-                return "{}";
+            if (after < this->compacted_revision || after > this->revision) {
+                return this->make_answer(410, "{}");
             }
             json events = json::array();
             for (const auto& each : this->history) {
@@ -190,7 +234,7 @@
                 }
             }
             if (!events.empty() || std::chrono::steady_clock::now() >= deadline || this->stopping) {
-                return json{{"events", events}, {"as-of", this->revision}}.dump();
+                return this->make_answer(200, json{{"events", events}, {"as-of", this->revision}}.dump());
             }
         }
         std::this_thread::sleep_for(1ms);
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,7 +21,18 @@
 /// @brief A fake of the platform's key-value store on loopback, with fault injection.
 class platform_store
 {
+    struct item {
+        std::string value;
+        std::uint64_t revision = 0;
+    };
+
 public:
+    /// @brief What the store held at a moment.
+    struct copy {
+        std::map<std::string, item> items;
+        std::uint64_t revision = 0;
+    };
+
     /// What the store does with requests while the fault is set.
     enum class fault {
         none,
@@ -42,6 +54,21 @@
     /// @brief Drops the history, so that watches from an earlier revision get status 410.
     void compact();
 
+    /// @brief A copy of the keys and the revision, for @c restore.
+    [[nodiscard]] copy snapshot();
+
+    /// @brief Replaces keys and revision with those of an earlier copy and starts a new era without history.
+    /// @remarks A watch from a revision that the copy lacks gets status 410 until new writes have passed it.
+    void restore(const copy& earlier);
+
+    /// @brief Sends @p text as the era in place of its number; without a value the header is not sent.
+    void set_era_header(std::optional<std::string> text);
+
+    /// @brief Sends the number of the era again.
+    void reset_era_header();
+
+    [[nodiscard]] std::uint64_t current_era();
+
     /// @brief Sets the maximum number of items in one page of a range read.
     void set_page_size(std::size_t items) { this->page_size = items; }
     void set_fault(fault kind) { this->active_fault = kind; }
@@ -50,10 +77,6 @@
     [[nodiscard]] std::size_t request_count() const { return this->requests; }
 
 private:
-    struct item {
-        std::string value;
-        std::uint64_t revision = 0;
-    };
     struct change {
         std::string key;
         std::uint64_t revision = 0;
@@ -61,10 +84,19 @@
         std::string value;
     };
 
+    /// A response, with the era in which it was made.
+    struct answer {
+        unsigned status = 200;
+        std::string body;
+        std::optional<std::string> era;
+    };
+
     void serve(boost::asio::ip::tcp::socket socket);
-    std::string handle(const std::string& target, unsigned& status);
-    std::string handle_range(const std::string& prefix, const std::string& after);
-    std::string handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms, unsigned& status);
+    answer handle(const std::string& target);
+    answer handle_range(const std::string& prefix, const std::string& after);
+    answer handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms);
+    /// The caller holds the mutex.
+    [[nodiscard]] answer make_answer(unsigned status, std::string body) const;
 
     boost::asio::io_context io;
     boost::asio::ip::tcp::acceptor acceptor{io};
@@ -73,6 +105,9 @@
     std::vector<change> history;
     std::uint64_t revision = 1;
     std::uint64_t compacted_revision = 0; ///< Watches from before this revision are refused.
+    std::uint64_t era = 1;                ///< Rises with each restoration.
+    bool custom_era_header = false;
+    std::optional<std::string> era_header; ///< Sent when @c custom_era_header is set.
     std::size_t page_size = 500;
     std::atomic<fault> active_fault{fault::none};
     std::atomic<std::size_t> requests{0};
