--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -5,7 +5,9 @@
 
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/catalog/route_table.hpp"
+#include "hibiscusfall/catalog/store_eras.hpp"
 #include "hibiscusfall/catalog/store_outage.hpp"
+#include "hibiscusfall/catalog/store_position.hpp"
 #include "hibiscusfall/claims/claim_client.hpp"
 #include "hibiscusfall/claims/claim_copy.hpp"
 #include "hibiscusfall/claims/claim_digest.hpp"
--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -247,4 +247,32 @@
     BOOST_TEST(other.endpoints().entries.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_restored_store_is_counted_once_although_two_prefixes_see_it)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    const auto eras = [](auto& each) { return each.store_eras(); };
+    BOOST_TEST(follower.on_loop(eras).restorations == 0U);
+    store.restore(store.snapshot());
+    BOOST_TEST(follower.eventually([&] { return follower.on_loop(eras).current == store.current_era(); }));
+    std::this_thread::sleep_for(1500ms); // both prefixes have been read since
+    BOOST_TEST(follower.on_loop(eras).restorations == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_without_a_readable_era_is_followed)
+{
+    for (const auto& text : {std::optional<std::string>{}, std::optional<std::string>{"soon"}}) {
+        platform_store store;
+        store.set_era_header(text);
+        store.put("op/config", configuration(1));
+        running_follower follower{store};
+        BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+        store.put("op/config", configuration(2));
+        BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+        BOOST_TEST(!follower.on_loop([](auto& each) { return each.store_eras(); }).seen);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
