Test the other ways in which a refusal could reach the wrong request

That a caller who leaves closes the connection is held by whole_answer_test. Change to a test: the cases that need a kept connection use a route whose requests may repeat.

--- a/tests/relay/repeated_refusal_test.cpp
+++ b/tests/relay/repeated_refusal_test.cpp
@@ -91,7 +91,7 @@
 
 BOOST_AUTO_TEST_CASE(a_refusal_that_names_an_earlier_request_is_dropped_on_a_connection_that_is_kept)
 {
-    relay_fixture fixture{{repeating(not_run_answer("1"))}};
+    relay_fixture fixture{{repeating(not_run_answer("1"))}, route_of(route_kind::idempotent)};
     BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 503"));
     const auto answer = fixture.ask(request_bytes("2"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
@@ -109,7 +109,7 @@
             answered = true;
         }
     };
-    relay_fixture fixture{{refusing_second}};
+    relay_fixture fixture{{refusing_second}, route_of(route_kind::idempotent)};
     BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 200"));
     BOOST_TEST(fixture.ask(request_bytes("2")).starts_with("HTTP/1.1 503"));
     BOOST_TEST(fixture.ask(request_bytes("3")).starts_with("HTTP/1.1 200"));
@@ -167,7 +167,7 @@
             }
         }
     };
-    relay_fixture fixture{{late}};
+    relay_fixture fixture{{late}, route_of(route_kind::idempotent)};
     BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 200"));
     const auto answer = fixture.ask(head_request("2"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
@@ -189,7 +189,7 @@
             }
         }
     };
-    relay_fixture fixture{{late}};
+    relay_fixture fixture{{late}, route_of(route_kind::idempotent)};
     BOOST_TEST(fixture.ask(head_request("1")).starts_with("HTTP/1.1 200"));
     const auto answer = fixture.ask(request_bytes("2"));
     BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
@@ -198,4 +198,63 @@
     });
 }
 
+BOOST_AUTO_TEST_CASE(a_refusal_of_an_earlier_request_without_a_known_end_is_not_told_as_not_run)
+{
+    const std::string head = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: 0\r\n";
+    for (const auto& earlier : {head + "\r\n", head + "Content-Length: 9\r\n\r\nhal"}) {
+        const auto running = [&earlier](endpoint_connection& connection) {
+            (void)connection.read_request();
+            connection.write(earlier);
+        };
+        relay_fixture fixture{{running, running}};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+        BOOST_TEST(arrivals(fixture, "1") == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_incomplete_refusal_is_not_told_as_not_run)
+{
+    const auto running = [](endpoint_connection& connection) {
+        (void)connection.read_request();
+        connection.write("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 9\r\n\r\nhal");
+    };
+    relay_fixture fixture{{running, running}};
+    const auto answer = fixture.ask(request_bytes("1"));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    BOOST_TEST(arrivals(fixture, "1") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_answer_is_no_refusal)
+{
+    const auto running = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write("HTTP/1.1 103 Early\r\nX-Not-Run: 1\r\nX-Request-Id: " + request->id +
+                             "\r\n\r\n" + signed_answer(request->id, "ran"));
+        }
+    };
+    relay_fixture fixture{{running}};
+    for (const std::string id : {"1", "2"}) {
+        BOOST_TEST(fixture.ask(request_bytes(id)).ends_with("ran"));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_of_a_request_that_has_timed_out_reaches_no_other_request)
+{
+    const auto late = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            if (request->id == "1") {
+                connection.wait_for_close();
+                connection.write(unnamed_refusal);
+                return;
+            }
+            connection.write(signed_answer(request->id, "ran"));
+        }
+    };
+    relay_fixture fixture{{late}, route_of(route_kind::idempotent)};
+    BOOST_TEST(fixture.ask(request_bytes("0")).starts_with("HTTP/1.1 200"));
+    BOOST_TEST(fixture.ask(request_bytes("1", "X-Time-Left: 200\r\n")).starts_with("HTTP/1.1 504"));
+    BOOST_TEST(fixture.ask(request_bytes("2")).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
