Take no end of a resumed stream without an event as the stream's end

Cause: the end of any well-framed response was the end of the stream. Evidence, on the code before: an_error_of_a_later_attempt_is_not_passed_on_inside_a_stream fails at "!body.complete" for a stream without events, with a length and in chunks; a_resumed_stream_of_comments_alone_does_not_look_whole fails there too. Decision: an endpoint that has nothing to add sends the same bytes as one that lost the stream. The end is taken as the stream's only after an end mark, or when as many events as tokens were requested have been delivered. Otherwise the attempt counts as garbled, which is tried once more elsewhere while attempts are left, and then the stream breaks. The price: a stream that breaks after its last event and before its end breaks for the caller. Callers may resume it themselves and are then told the end, as the first attempt of a request may be empty. The endpoint is not marked as failing.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -195,7 +195,18 @@
     state.last_event = now;
 }
 
+/// Whether the caller has received as many events as tokens were requested, so that no event can follow.
+bool has_every_token(const request_state& state)
+{
+    const auto& generation = state.metadata.generation;
+    return generation && generation->max_output_tokens > 0 &&
+           state.delivered.tokens >= generation->max_output_tokens;
+}
+
 /// Relays complete events until the stream ends.
+/// @remarks After a resume, an end without any event is taken as the stream's end only if an end mark or the
+/// number of tokens shows that the caller has every event. Otherwise the stream breaks: a caller that resumes
+/// learns from its own request that nothing follows, but one that was told a false end cannot know.
 asio::awaitable<attempt_result> relay_events(request_state& state,
                                              std::shared_ptr<endpoint_connection> connection,
                                              std::unique_ptr<head_parser> head,
@@ -282,6 +293,12 @@
             verdict::may_have_run(failure::connection_broken, "the stream ended before its first event"),
             request_outcome::failed);
     }
+    if (scanner.expected_id && !scanner.progress.ended && !has_every_token(state)) {
+        connection->close();
+        co_return failed(
+            verdict::may_have_run(failure::garbled_answer, "the resumed stream ended without an event"),
+            request_outcome::succeeded);
+    }
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
--- a/tests/relay/error_in_stream_test.cpp
+++ b/tests/relay/error_in_stream_test.cpp
@@ -115,6 +115,9 @@
          [](const received_request& request) { return answer_head(204, request.id, "X-Signature: s\r\n"); }},
         {"refusal", [](const received_request& request) { return not_run_answer(request.id); }},
         {"refusal as 421", status(421, "X-Not-Run: 1\r\n", json)},
+        {"signed stream without events", status(200, "X-Signature: s\r\n" + event_type, {})},
+        {"signed stream without events in chunks",
+         [](const received_request& request) { return signed_stream_head(request.id) + last_chunk; }},
         {"error instead of an event", unframed([=](int) { return error_head + "error\n\n"; })},
         {"error after events",
          unframed([=](int next) { return events(next, 6) + error_head + "error\n\n"; }),
@@ -231,4 +234,63 @@
     BOOST_TEST(answer.find("Transfer-Encoding") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(a_resumed_stream_ends_without_an_event_if_the_caller_has_every_event)
+{
+    struct first_answer {
+        std::string more_events;
+        std::string headers;
+        bool is_whole = true;
+    };
+    const std::string end_mark = "data: [DONE]\n\n";
+    for (const auto& first :
+         {first_answer{.more_events = end_mark, .headers = {}},
+          first_answer{.more_events = {}, .headers = "X-Prompt: a:8\r\nX-Max-Output: 3\r\n"},
+          first_answer{
+              .more_events = {}, .headers = "X-Prompt: a:8\r\nX-Max-Output: 4\r\n", .is_whole = false}}) {
+        std::atomic<int> request_count{0};
+        const auto script = [&](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            if (!request) {
+                return;
+            }
+            if (request_count++ == 0) {
+                connection.write(signed_stream_head(request->id) + event_chunks(1, first_events) +
+                                 (first.more_events.empty() ? std::string{} : chunk(first.more_events)));
+                connection.reset();
+                return;
+            }
+            connection.write(signed_stream_head(request->id) + last_chunk);
+            connection.wait_for_close();
+        };
+        relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+        const auto body = read_chunks(fixture.ask(request_bytes("1", first.headers)));
+        BOOST_TEST(body.text == events(1, first_events) + first.more_events);
+        BOOST_TEST(body.complete == first.is_whole);
+        BOOST_TEST(fixture.received().size() == 2U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_resumed_stream_of_comments_alone_does_not_look_whole)
+{
+    const std::string comment = ": comment\n\n";
+    std::atomic<int> request_count{0};
+    const auto script = [&](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        if (request_count++ == 0) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, first_events));
+            connection.reset();
+            return;
+        }
+        connection.write(signed_stream_head(request->id) + chunk(comment) + last_chunk);
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+    const auto body = read_chunks(fixture.ask(request_bytes("1")));
+    BOOST_TEST(body.text == events(1, first_events) + comment);
+    BOOST_TEST(!body.complete);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/relay_fixture.cpp
+++ b/tests/relay/relay_fixture.cpp
@@ -47,6 +47,10 @@
                                      .time_left = {},
                                      .generation = read_prompt(to_view(head["X-Prompt"])),
                                      .last_event_id = std::string{head["Last-Event-Id"]}};
+    const auto most = to_view(head["X-Max-Output"]);
+    if (metadata.generation) {
+        std::from_chars(most.data(), most.data() + most.size(), metadata.generation->max_output_tokens);
+    }
     const auto left = to_view(head["X-Time-Left"]);
     int milliseconds = 0;
     if (std::from_chars(left.data(), left.data() + left.size(), milliseconds).ec == std::errc{}) {
