Check the range of every number of a configuration

Durations were cast from double to 64 bits without a check; `max-attempts`, `max-conns`, sizes, `slots`, `stride` and the version were converted silently: -1 became 4,294,967,295 attempts and a header limit of 2^64-1, -1 as a version became 2^64-1, behind which all later versions are lost, 7.5 became 7. One number of another type rejected the whole version. Weights whose sum is infinite sent all requests to the last service. Cause: nlohmann's conversions between numbers don't check ranges, and throw for other types. Change: the version must be a whole number up to 2^53, or the version as a whole is rejected. Any other number is optional: the store has validated the configuration, and staying on an older version for one number would do callers more harm (routes and keys that changed) than its default. Larger than its range: the largest value. Missing, smaller or not a number: the value that stands for "not given". A weight that cannot be used is 0, so that the route's other services get its requests. What was replaced is returned in error_text.

--- a/tests/adapter/decoding_test.cpp
+++ b/tests/adapter/decoding_test.cpp
@@ -228,6 +228,119 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_version_that_is_no_exact_whole_number_is_no_configuration)
+{
+    for (const auto* version : {"-1", "7.5", "18446744073709551615", "1e300", "true"}) {
+        std::string problem;
+        const auto bad = replaced(configuration, "\"version\":7", "\"version\":" + std::string{version});
+        BOOST_TEST(!adapter::read_configuration(bad, problem).has_value(), version);
+        BOOST_TEST(problem.find("version") != std::string::npos, problem);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(optional_numbers_out_of_their_range_are_replaced_and_the_rest_of_the_version_holds)
+{
+    for (const auto* number :
+         {"-1", "-1e300", "1e300", "18446744073709551615", "0.5e-300", "null", "\"7\"", "[]"}) {
+        std::string all{configuration};
+        for (const auto* name : {"timeout-ms",
+                                 "goal-ms",
+                                 "gap-aim-ms",
+                                 "max-attempts",
+                                 "priority",
+                                 "weight",
+                                 "max-conns",
+                                 "slots",
+                                 "kv-capacity-tokens",
+                                 "stride",
+                                 "max-header-bytes",
+                                 "max-body-bytes",
+                                 "header-timeout-ms",
+                                 "idle-timeout-ms",
+                                 "tokens-per-s"}) {
+            const auto field = "\"" + std::string{name} + "\":";
+            for (auto at = all.find(field); at != std::string::npos; at = all.find(field, at + 1)) {
+                const auto begin = at + field.size();
+                all.replace(begin, all.find_first_of(",}", begin) - begin, number);
+            }
+        }
+        BOOST_TEST_CONTEXT(number)
+        {
+            std::string problem;
+            const auto table = adapter::read_configuration(all, problem);
+            BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+            BOOST_TEST(!problem.empty());
+            BOOST_TEST(problem.size() < 400U);
+            for (const auto& route : table->routes) {
+                for (const auto each : {route.timeout, route.latency_target, route.event_gap_target}) {
+                    BOOST_TEST((each >= 0ms && each <= 24h));
+                }
+                BOOST_TEST(route.max_attempts <= 1000U);
+                for (const auto& each : route.services) {
+                    BOOST_TEST((each.weight >= 0 && each.weight <= 1e9));
+                }
+            }
+            for (const auto& [id, service] : table->services) {
+                BOOST_TEST(service.max_connections <= 1U << 20U);
+                BOOST_TEST((!service.engine || service.engine->batch_size <= 65536U));
+                BOOST_TEST((!service.engine || service.engine->tokens_per_event >= 1U));
+            }
+            const auto& limits = table->limits;
+            BOOST_TEST((limits.header_bytes >= 1U && limits.header_bytes <= 16U << 20U));
+            BOOST_TEST(limits.body_bytes <= 1U << 30U);
+            BOOST_TEST((limits.header_timeout > 0ms && limits.header_timeout <= 24h));
+            BOOST_TEST((limits.idle_timeout > 0ms && limits.idle_timeout <= 24h));
+            BOOST_TEST((limits.tokens_per_second >= 0 && limits.tokens_per_second <= 1e12));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_number_that_is_replaced_is_named_and_an_untouched_configuration_names_none)
+{
+    std::string problem{"left by a call before"};
+    BOOST_TEST(adapter::read_configuration(configuration, problem).has_value());
+    BOOST_TEST(problem.empty());
+    const auto table = adapter::read_configuration(
+        replaced(configuration, "\"max-attempts\":2", "\"max-attempts\":4294967295"), problem);
+    BOOST_REQUIRE(table.has_value());
+    BOOST_TEST(problem == "max-attempts is not in its range: 1000 is used");
+    BOOST_TEST(catalog::find_route(*table, "a.example", "/y/1")->max_attempts == 1000U);
+    const auto without_limits = adapter::read_configuration(
+        replaced(configuration, "\"limits\":", "\"limits\":[],\"others\":"), problem);
+    BOOST_REQUIRE(without_limits.has_value());
+    BOOST_TEST(without_limits->limits.header_bytes == catalog::request_limits{}.header_bytes);
+    BOOST_TEST(problem == "limits is not an object: it is ignored");
+}
+
+BOOST_AUTO_TEST_CASE(a_service_whose_weight_cannot_be_used_gets_no_requests_of_the_route)
+{
+    std::string problem;
+    const auto table =
+        adapter::read_configuration(replaced(configuration, "\"weight\":90", "\"weight\":-90"), problem);
+    BOOST_REQUIRE(table.has_value());
+    const auto* route = catalog::find_route(*table, "a.example", "/x/1");
+    for (std::uint64_t hash = 0; hash < 1U << 20U; hash += 4099) {
+        BOOST_REQUIRE(catalog::choose_service(*route, hash).view() == "s2");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(weights_whose_sum_is_no_number_do_not_send_all_requests_to_one_service)
+{
+    std::string problem;
+    const auto first = replaced(configuration, "\"weight\":90", "\"weight\":1e308");
+    const auto table =
+        adapter::read_configuration(replaced(first, "\"weight\":10", "\"weight\":1e308"), problem);
+    BOOST_REQUIRE(table.has_value());
+    const auto* route = catalog::find_route(*table, "a.example", "/x/1");
+    int to_first = 0;
+    constexpr int requests = 1000;
+    for (std::uint64_t hash = 0; hash < requests; ++hash) {
+        to_first += catalog::choose_service(*route, hash * 7919).view() == "s1" ? 1 : 0;
+    }
+    BOOST_TEST(to_first > requests / 4);
+    BOOST_TEST(to_first < requests * 3 / 4);
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_read_without_harm)
 {
     BOOST_TEST(rc::check("reading gives a result or a reason", [] {
