Multiply a plain endpoint's slots in 64 bits

Cause: the limit is slots * 4 in 32 bits. Evidence on the code before: a_plain_endpoint_whose_slots_overflow_when_multiplied_does_not_refuse_all_calls fails for 2^30, 2^31 and 2^30 + 1 slots, with five calls running. Result: test_dispatch passes.

--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -314,6 +314,12 @@
     refuse(decision, core::failure::queue_full, spread(shares.window / 4, shares.window, hash));
 }
 
+/// Calls that a plain endpoint may run and queue; in 64 bits, as the product can exceed 32.
+std::uint64_t max_plain_calls(const endpoint_state& state)
+{
+    return std::uint64_t{std::max(1U, state.batch)} * (1 + plain_queue_per_slot);
+}
+
 void admit_generation(placement_decision& decision,
                       const fleet_state& fleet,
                       const placement_request& request,
@@ -404,7 +410,7 @@
     }
     if (is_generation) {
         admit_generation(decision, fleet, request, best, now);
-    } else if (running(*best.state) >= std::max(1U, best.state->batch) * (1 + plain_queue_per_slot)) {
+    } else if (running(*best.state) >= max_plain_calls(*best.state)) {
         refuse(decision, core::failure::queue_full, spread(best.wait / 2, milliseconds{300}, request.hash));
     }
     return decision;
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -169,6 +169,17 @@
     BOOST_TEST((decision.retry_after > core::duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(a_plain_endpoint_whose_slots_overflow_when_multiplied_does_not_refuse_all_calls)
+{
+    for (const std::uint32_t slots : {1U << 30U, 1U << 31U, 0x40000001U, 0xffffffffU}) {
+        auto fleet = make_fleet({{"a", "north"}}, false);
+        state_of(fleet, "a").batch = slots;
+        state_of(fleet, "a").model.peer_requests = 5;
+        const auto decision = dispatch::place(fleet, call(start), dispatch::policy::engine_model, start);
+        BOOST_TEST(decision.placed, slots);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_rests_is_used_when_no_other_is_left)
 {
     auto fleet = make_fleet({{"a", "north"}, {"b", "north"}}, false);
