--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -173,6 +173,21 @@
     BOOST_TEST(store.request_count() < 40U); // two prefixes, each with a backoff that grows to 0.6 s
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_that_is_refused_again_and_again_does_not_make_for_many_calls)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    store.set_fault(platform_store::fault::history_gone);
+    const auto before = store.request_count();
+    std::this_thread::sleep_for(2s);
+    // Two prefixes, each with a listing and a watch for every backoff, which grows to 0.6 s.
+    BOOST_TEST(store.request_count() - before < 60U);
+    store.put("op/config", configuration(2));
+    BOOST_TEST(follower.eventually([&] { return follower.version == 2; }, 2s));
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_that_does_not_read_makes_no_calls)
 {
     platform_store store;
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -217,7 +217,8 @@
     while (true) {
         {
             const std::lock_guard lock(this->mutex);
-            if (after < this->compacted_revision || after > this->revision) {
+            if (after < this->compacted_revision || after > this->revision ||
+                this->active_fault == fault::history_gone) {
                 return this->make_answer(410, "{}");
             }
             json events = json::array();
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -38,7 +38,8 @@
         none,
         unresponsive, ///< Sends no response until the fault ends.
         unavailable,  ///< Answers with 503.
-        disconnect    ///< Closes the connection without a response.
+        disconnect,   ///< Closes the connection without a response.
+        history_gone  ///< Answers every watch with 410, and serves the rest.
     };
 
     platform_store();
