Keep only the answer that is passed on for a key

What callers could see, in the project's own interface: with a key, a first endpoint that answered 500 and a second one that streamed, the stored answer was the text of the 500 followed by the events, as a 200 event stream; a caller that asked again with the key got it. After a 500 and a broken second attempt the caller was told "may have run", and a second call with the key the 500. The kept answer belongs to the request, and an attempt that was repeated left its body there; a stream appended to it. Change: a whole answer is kept only when it is passed on, and a stream starts with an empty one.

--- a/src/traffic/relay_context.hpp
+++ b/src/traffic/relay_context.hpp
@@ -54,7 +54,7 @@
     std::vector<core::endpoint_id> resting{};    ///< Endpoints that a retry leaves out, as they asked for it.
     std::optional<core::duration> retry_after{}; ///< The shortest that a refusing endpoint has stated.
     relay_totals totals{};
-    kept_answer kept{};
+    kept_answer kept{}; ///< The answer that is passed on; answers of attempts that are repeated are not kept.
     std::function<void(const core::verdict&)> settle_claim{}; ///< Called before the caller gets its answer.
 
     /// @brief Whether the run may be cancelled when the caller leaves.
--- a/src/traffic/stream_relay.cpp
+++ b/src/traffic/stream_relay.cpp
@@ -59,9 +59,11 @@
 verdict stream_relay::run()
 {
     this->last_piece = clock::now();
-    this->context.kept.status = static_cast<std::uint16_t>(this->source.exchange->head().result_int());
-    this->context.kept.content_type = std::string{this->source.exchange->head()[http::field::content_type]};
-    this->context.kept.complete = true;
+    const auto& head = this->source.exchange->head();
+    this->context.kept = {.status = static_cast<std::uint16_t>(head.result_int()),
+                          .content_type = std::string{head[http::field::content_type]},
+                          .body = {},
+                          .complete = true};
     bool whole = this->take_pieces();
     while (!whole && this->resume()) {
         whole = this->take_pieces();
--- a/src/traffic/whole_relay.cpp
+++ b/src/traffic/whole_relay.cpp
@@ -147,14 +147,14 @@
         context.note_retry_after(source.endpoint.id, *stated);
     }
     settle_slot(context, source, outcome);
+    if (!outcome.answered() && context.plan.service->repeatable) {
+        return outcome;
+    }
     context.totals.bytes = body.size();
     context.kept = {.status = static_cast<std::uint16_t>(head.result_int()),
                     .content_type = std::string{head[http::field::content_type]},
                     .body = body.size() <= context.state.options.kept_answer_bytes ? body : std::string{},
                     .complete = body.size() <= context.state.options.kept_answer_bytes};
-    if (!outcome.answered() && context.plan.service->repeatable) {
-        return outcome;
-    }
     context.settle_claim(outcome);
     context.relayed = true;
     if (!write_answer(
--- a/tests/traffic/claim_test.cpp
+++ b/tests/traffic/claim_test.cpp
@@ -143,6 +143,33 @@
     BOOST_TEST(!all.claims.outcomes.front().body_kept);
 }
 
+BOOST_AUTO_TEST_CASE(a_kept_stream_has_no_bytes_of_the_answer_of_an_earlier_attempt)
+{
+    std::atomic<int> request_count{0};
+    const auto script = [&request_count](endpoint_connection& connection) {
+        while (connection.read_request()) {
+            connection.write(request_count++ == 0
+                                 ? "HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\n"
+                                   "Content-Length: 13\r\n\r\n{\"error\":\"x\"}"
+                                 : stream_head() + event_chunks(0, 2) + stream_end());
+        }
+    };
+    scripted_endpoint first{script};
+    scripted_endpoint second{script};
+    recording_claims claims;
+    test_fleet fleet;
+    claims.connect(fleet.ports);
+    fleet.add_endpoint("d1", "draft", first.address());
+    fleet.add_endpoint("d2", "draft", second.address());
+    fleet.start();
+    const auto answer = fleet.call(completion(true, "Idempotency-Key: k1\r\n"));
+    BOOST_TEST(answer.status == 200U);
+    BOOST_TEST(request_count == 2);
+    BOOST_TEST_REQUIRE(claims.outcomes.size() == 1U);
+    BOOST_TEST(claims.outcomes.front().body_kept);
+    BOOST_TEST(claims.outcomes.front().body == answer.body);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_was_never_sent_frees_its_key)
 {
     recording_claims claims;
