Test every way in which a first event can break off before it is delivered

The review of the fix found that the regression test broke the first attempt by a reset only. It now also ends it by the end of the body, the end of the connection and silence until the attempt is abandoned, and a test shows that the position that a caller stated itself survives such an attempt.

--- a/tests/relay/stream_relay_test.cpp
+++ b/tests/relay/stream_relay_test.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
+#include <vector>
+
 using namespace hibiscusfall;
 using namespace hibiscusfall::testing;
 using namespace std::chrono_literals;
@@ -121,6 +124,52 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_first_event_that_breaks_off_is_not_joined_to_the_answer_of_the_next_attempt)
+{
+    const auto reset = [](endpoint_connection& connection, const std::string& id) {
+        connection.write(signed_stream_head(id) + chunk("id: 1\nda"));
+        connection.reset();
+    };
+    const auto end_body = [](endpoint_connection& connection, const std::string& id) {
+        connection.write(signed_stream_head(id) + chunk("id: 1\nda") + last_chunk);
+        connection.wait_for_close();
+    };
+    const auto end_connection = [](endpoint_connection& connection, const std::string& id) {
+        connection.write(unframed_stream_head(id) + "id: 1\nda");
+        connection.shut();
+    };
+    const auto fall_silent = [](endpoint_connection& connection, const std::string& id) {
+        connection.write(signed_stream_head(id) + chunk("id: 1\nda"));
+        connection.wait_for_close();
+    };
+    using ending = std::function<void(endpoint_connection&, const std::string&)>;
+    for (const auto& end_attempt : std::vector<ending>{reset, end_body, end_connection, fall_silent}) {
+        std::atomic<int> request_count{0};
+        const auto script = [&](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            if (!request) {
+                return;
+            }
+            if (request_count++ == 0) {
+                end_attempt(connection, request->id);
+                return;
+            }
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 4) + last_chunk);
+            connection.wait_for_close();
+        };
+        relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(contains(answer, "\r\n" + numbered_event(1)));
+        for (int id = 1; id < 4; ++id) {
+            BOOST_TEST(count(answer, "id: " + std::to_string(id) + "\n") == 1U);
+        }
+        BOOST_TEST(answer.ends_with(last_chunk));
+        const auto requests = fixture.received();
+        BOOST_REQUIRE(requests.size() == 2U);
+        BOOST_TEST((requests[0].last_event_id.empty() && requests[1].last_event_id.empty()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(events_that_were_read_but_not_passed_on_are_not_missing_after_a_resume)
 {
     std::atomic<int> request_count{0};
     const auto script = [&request_count](endpoint_connection& connection) {
@@ -129,26 +178,24 @@
             return;
         }
         if (request_count++ == 0) {
-            connection.write(signed_stream_head(request->id) + chunk("id: 1\nda"));
-            connection.reset();
+            connection.write(signed_stream_head(request->id) +
+                             chunk(numbered_event(1) + "data: [DONE]\n\n" + numbered_event(2)));
+            connection.wait_for_close();
             return;
         }
-        connection.write(signed_stream_head(request->id) + event_chunks(1, 4) + last_chunk);
+        const int next = request->last_event_id.empty() ? 1 : std::stoi(request->last_event_id) + 1;
+        connection.write(signed_stream_head(request->id) + event_chunks(next, 4) + last_chunk);
         connection.wait_for_close();
     };
     relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
     const auto answer = fixture.ask(request_bytes("1"));
-    BOOST_TEST(contains(answer, "\r\n" + numbered_event(1)));
     for (int id = 1; id < 4; ++id) {
         BOOST_TEST(count(answer, "id: " + std::to_string(id) + "\n") == 1U);
     }
     BOOST_TEST(answer.ends_with(last_chunk));
-    const auto requests = fixture.received();
-    BOOST_REQUIRE(requests.size() == 2U);
-    BOOST_TEST((requests[0].last_event_id.empty() && requests[1].last_event_id.empty()));
 }
 
-BOOST_AUTO_TEST_CASE(events_that_were_read_but_not_passed_on_are_not_missing_after_a_resume)
+BOOST_AUTO_TEST_CASE(a_callers_own_position_in_a_stream_survives_an_attempt_that_delivered_nothing)
 {
     std::atomic<int> request_count{0};
     const auto script = [&request_count](endpoint_connection& connection) {
@@ -157,21 +204,18 @@
             return;
         }
         if (request_count++ == 0) {
-            connection.write(signed_stream_head(request->id) +
-                             chunk(numbered_event(1) + "data: [DONE]\n\n" + numbered_event(2)));
-            connection.wait_for_close();
+            connection.write(signed_stream_head(request->id) + chunk("id: 6\nda"));
+            connection.reset();
             return;
         }
-        const int next = request->last_event_id.empty() ? 1 : std::stoi(request->last_event_id) + 1;
-        connection.write(signed_stream_head(request->id) + event_chunks(next, 4) + last_chunk);
+        connection.write(signed_stream_head(request->id) + event_chunks(6, 8) + last_chunk);
         connection.wait_for_close();
     };
     relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
-    const auto answer = fixture.ask(request_bytes("1"));
-    for (int id = 1; id < 4; ++id) {
-        BOOST_TEST(count(answer, "id: " + std::to_string(id) + "\n") == 1U);
-    }
-    BOOST_TEST(answer.ends_with(last_chunk));
+    BOOST_TEST(fixture.ask(request_bytes("1", "Last-Event-ID: 5\r\n")).ends_with(last_chunk));
+    const auto requests = fixture.received();
+    BOOST_REQUIRE(requests.size() == 2U);
+    BOOST_TEST((requests[0].last_event_id == "5" && requests[1].last_event_id == "5"));
 }
 
 BOOST_AUTO_TEST_CASE(a_run_that_starts_over_is_not_joined_to_a_resumed_stream)
