Send no body with an answer to a HEAD request

What callers could see: after HEAD, the text of a refusal, or the last chunk of a stream, stood on a kept connection where the next answer was due (MIXED: bytes that are no answer). Cause: refusals were written with their body, and a signed success on a stream route as a chunked stream, whatever the method of the request. Evidence: found by a review. no_answer_to_a_head_request_brings_bytes_that_stand_for_the_next_one fails on the code before: the head of a 404 is followed by {"error":...}, and the answer to a HEAD on a stream route by "0\r\n\r\n", which stands in front of the next answer. Change: the session knows whether its request expects no body; refusals then send their head alone, and no answer to HEAD is relayed as a stream or told to have a length of 0.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -363,7 +363,7 @@
     const auto end = co_await read_head(connection,
                                         state.server.http_dialect,
                                         state.metadata.id,
-                                        state.request.method() == http::verb::head,
+                                        state.caller.expects_no_body(),
                                         head,
                                         state.server.counters.mismatched_responses);
     if (end != read_result::complete) {
@@ -380,7 +380,7 @@
     record_announcements(state.server, connection->endpoint, metadata, event_loop::now());
     const bool success = head->get().result_int() / 100 == 2;
     const bool ends_with_connection = head->need_eof();
-    const bool is_stream = is_event_stream(head->get());
+    const bool is_stream = is_event_stream(head->get()) && !state.caller.expects_no_body();
     if (state.head_sent && success && !is_stream) {
         connection->close();
         co_return failed(
@@ -449,7 +449,7 @@
     std::string head = "HTTP/1.1 " + std::to_string(answer.status) + " ";
     head += reason_phrase(answer.status);
     head += "\r\n" + answer.head;
-    if (answer.status != 204 && answer.status != 304) {
+    if (answer.status != 204 && answer.status != 304 && !state.caller.expects_no_body()) {
         head += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
     head += state.caller.connection_header();
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -78,6 +78,7 @@
                 break;
             }
         }
+        this->head_request = false;
         auto parser = std::make_unique<request_parser>();
         const auto end = co_await this->receive(*parser);
         if (end == request_read_result::closed) {
@@ -91,6 +92,7 @@
         auto request = parser->release();
         parser.reset();
         this->keep_open = request.keep_alive();
+        this->head_request = request.method() == http::verb::head;
         this->watch_for_disconnect();
         co_await handle_request(this->server, *this, request);
         this->stop_watching();
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -68,6 +68,9 @@
     /// @brief Whether the connection accepts another request after the one in progress.
     [[nodiscard]] bool keeps_open() const noexcept { return this->keep_open && !this->server.shutting_down; }
 
+    /// @brief Whether responses to the request in progress have no body, as it is a HEAD request.
+    [[nodiscard]] bool expects_no_body() const noexcept { return this->head_request; }
+
     /// @brief Closes the connection after the current response.
     void close_after_answer() noexcept { this->keep_open = false; }
 
@@ -95,6 +98,7 @@
     bool waiting = true;
     core::instant waiting_since = event_loop::now();
     bool keep_open = true;
+    bool head_request = false; ///< Of the request in progress.
     bool disconnected = false;
     bool timed_out = false;
 };
--- a/src/relay/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -42,7 +42,7 @@
         head += "Retry-After: " + to_seconds(answer.retry_after) + "\r\n";
     }
     head += caller.connection_header();
-    co_await caller.write(head, body);
+    co_await caller.write(head, caller.expects_no_body() ? std::string_view{} : body);
 }
 
 } // namespace hibiscusfall::relay::detail
--- a/tests/relay/whole_answer_test.cpp
+++ b/tests/relay/whole_answer_test.cpp
@@ -278,6 +278,33 @@
     BOOST_TEST(answer.ends_with("early"));
 }
 
+BOOST_AUTO_TEST_CASE(no_answer_to_a_head_request_brings_bytes_that_stand_for_the_next_one)
+{
+    const auto answering = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            const auto answer = signed_answer(request->id, "body");
+            connection.write(request->method == "HEAD" ? answer.substr(0, answer.find("body")) : answer);
+        }
+    };
+    const auto request = [](std::string_view method, std::string_view path, std::string_view id) {
+        return std::string{method} + " " + std::string{path} +
+               " HTTP/1.1\r\nHost: a.example\r\nX-Key: secret\r\nX-Request-Id: " + std::string{id} +
+               "\r\nContent-Length: 0\r\n\r\n";
+    };
+    for (const auto kind : {route_kind::idempotent, route_kind::stream}) {
+        relay_fixture fixture{{answering}, route_of(kind)};
+        for (const auto* path : {"/x/1", "/unknown/1"}) {
+            raw_caller caller{fixture.port()};
+            caller.send(request("HEAD", path, "1"));
+            const auto head = caller.read_until("\r\n\r\n");
+            BOOST_TEST(head.find("\r\n\r\n") + 4 == head.size(), head);
+            caller.send(request("GET", "/unknown/2", "2"));
+            const auto next = caller.read_until("\r\n\r\n");
+            BOOST_TEST(next.starts_with("HTTP/1.1 404"), next);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(the_routes_timeout_ends_the_wait)
 {
     const auto silent = [](endpoint_connection& connection) {
