Log exceptions that leave the relay's coroutines, and start those that accept again

All coroutines here were started with asio::detached. Cause: its completion handler drops the exception, so that neither the log nor handler_failures() told of it; an exception in accept_callers() would have left an instance that is ready and accepts nobody. Evidence: no exception in the relay's coroutines was found by reading; the fault is that one would not be seen. Change: event_loop::log_failure() is the completion handler of coroutines that end, and keep_running() starts one that lasts as long as the process, again 0.5 s after an exception. Both log `coroutine_failed` and count.

--- a/include/hibiscusfall/relay/event_loop.hpp
+++ b/include/hibiscusfall/relay/event_loop.hpp
@@ -4,6 +4,10 @@
 #include "hibiscusfall/timing/timer_service.hpp"
 
 #include <cstdint>
+#include <exception>
+#include <functional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
@@ -34,16 +38,40 @@
     /// @brief Suspends the calling coroutine for a time.
     asio::awaitable<void> sleep(core::duration length);
 
+    /// @name Coroutines
+
+    /// Completion handler of a coroutine: logs the exception that left it. @c asio::detached would drop it.
+    struct failure_log {
+        event_loop* loop = nullptr;
+        std::string_view coroutine;
+
+        void operator()(const std::exception_ptr& failure) const;
+    };
+
+    /// @param coroutine Its name in the log, a literal.
+    /// @code
+    /// asio::co_spawn(loop.context(), session->run(), loop.log_failure("session"));
+    /// @endcode
+    [[nodiscard]] failure_log log_failure(std::string_view coroutine) noexcept
+    {
+        return {.loop = this, .coroutine = coroutine};
+    }
+
+    /// @brief Starts a coroutine, and starts it again after a pause whenever an exception has left it.
+    /// @param start Called for each start; no more once the coroutine has returned.
+    void keep_running(std::string_view coroutine, std::function<asio::awaitable<void>()> start);
+
     /// @name Running
     /// @brief Runs until stopped. An exception from a handler is logged and ends only that handler.
     void run();
     void stop() { this->io.stop(); }
 
-    /// @brief Number of handlers that ended with an exception.
+    /// @brief Number of handlers and coroutines that ended with an exception.
     [[nodiscard]] std::uint64_t handler_failures() const noexcept { return this->failures; }
 
 private:
     void schedule_timer();
+    asio::awaitable<void> run_again(std::string_view coroutine, std::function<asio::awaitable<void>()> start);
 
     asio::io_context io{1};
     timing::timer_service timers;
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -5,7 +5,6 @@
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -125,7 +124,7 @@
     if (!is_checked) {
         asio::co_spawn(server.loop.context(),
                        confirm_crash(server, endpoint.tag, endpoint.entry.address, endpoint.entry.id.str()),
-                       asio::detached);
+                       server.loop.log_failure("confirm_crash"));
     }
 }
 
--- a/src/relay/event_loop.cpp
+++ b/src/relay/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/telemetry/log_event.hpp"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -10,6 +11,14 @@
 namespace hibiscusfall::relay
 {
 
+namespace
+{
+
+/// A coroutine that fails at once each time must not keep the loop busy.
+constexpr core::duration restart_pause = std::chrono::milliseconds{500};
+
+} // namespace
+
 core::duration time_to_next_tick(core::duration interval, core::instant now) noexcept
 {
     const auto since = std::chrono::duration_cast<core::duration>(now.time_since_epoch());
@@ -39,6 +48,43 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+void event_loop::failure_log::operator()(const std::exception_ptr& failure) const
+{
+    if (!failure) {
+        return;
+    }
+    ++this->loop->failures;
+    telemetry::log_event line{"coroutine_failed"};
+    line.with("coroutine", this->coroutine);
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        telemetry::write_error(line.with("reason", error.what()));
+    } catch (...) {
+        telemetry::write_error(line.with("reason", "not a standard exception"));
+    }
+}
+
+void event_loop::keep_running(std::string_view coroutine, std::function<asio::awaitable<void>()> start)
+{
+    asio::co_spawn(this->io, this->run_again(coroutine, std::move(start)), this->log_failure(coroutine));
+}
+
+asio::awaitable<void> event_loop::run_again(std::string_view coroutine,
+                                            std::function<asio::awaitable<void>()> start)
+{
+    while (true) {
+        try {
+            auto work = start();
+            co_await std::move(work);
+            co_return;
+        } catch (const std::exception&) {
+            this->log_failure(coroutine)(std::current_exception());
+        }
+        co_await this->sleep(restart_pause);
+    }
+}
+
 void event_loop::run()
 {
     while (true) {
--- a/src/relay/page_server.cpp
+++ b/src/relay/page_server.cpp
@@ -4,7 +4,6 @@
 #include "refusal.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -60,7 +59,7 @@
             co_await loop.sleep(accept_pause);
             continue;
         }
-        asio::co_spawn(loop.context(), answer(std::move(socket), render), asio::detached);
+        asio::co_spawn(loop.context(), answer(std::move(socket), render), loop.log_failure("page"));
     }
 }
 
@@ -83,7 +82,7 @@
 {
     auto acceptor = std::make_shared<tcp::acceptor>(open_listener(loop, at));
     auto shared = std::make_shared<std::function<page()>>(std::move(render));
-    asio::co_spawn(loop.context(), accept(loop, std::move(acceptor), std::move(shared)), asio::detached);
+    loop.keep_running("accept_pages", [&loop, acceptor, shared] { return accept(loop, acceptor, shared); });
 }
 
 } // namespace hibiscusfall::relay::detail
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -9,7 +9,6 @@
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -107,7 +106,7 @@
     this->acceptors = std::make_unique<listeners>(
         listeners{detail::open_listener(this->loop, this->options.caller_address)});
     this->acceptors->callers.non_blocking(true);
-    asio::co_spawn(this->loop.context(), this->accept_callers(), asio::detached);
+    this->loop.keep_running("accept_callers", [this] { return this->accept_callers(); });
     detail::serve_pages(this->loop, this->options.readiness_address, [this] {
         constexpr unsigned not_ready = 503;
         return detail::page{.status = this->ready() ? 200U : not_ready, .body = {}};
@@ -255,7 +254,7 @@
     }
     this->sessions->emplace(session.get(), session);
     asio::co_spawn(
-        this->loop.context(), [session] { return session->run(); }, asio::detached);
+        this->loop.context(), [session] { return session->run(); }, this->loop.log_failure("session"));
 }
 
 } // namespace hibiscusfall::relay
