Report the first token of the engine that a stream has moved to

Cause: progress reports took the time of the request's first byte, which came from the engine before, against the time at which the new engine was asked: zero for each moved stream. The scheduler learned a first token without delay. Evidence, on the code before: a_moved_stream_reports_the_first_token_of_its_new_engine fails at "reported >= delay" in each report. Change: the time of the first byte from the engine itself, as in the usage at the slot's end.

--- a/src/traffic/stream_relay.cpp
+++ b/src/traffic/stream_relay.cpp
@@ -291,7 +291,7 @@
 {
     if (now - this->last_report >= this->context.state.options.progress_interval) {
         this->last_report = now;
-        const auto first_token = core::elapsed(this->source.sent, *this->context.totals.first_byte);
+        const auto first_token = core::elapsed(this->source.sent, *this->source.first_byte);
         this->context.state.ports.progress(this->source.slot.granted().ticket,
                                            {.cost = this->context.cost_of(this->scanner.progress.tokens),
                                             .first_token = std::max(first_token, core::duration::zero())});
--- a/tests/traffic/stream_move_test.cpp
+++ b/tests/traffic/stream_move_test.cpp
@@ -3,6 +3,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <mutex>
+#include <thread>
+#include <vector>
+
 using namespace hibiscusfall;
 using namespace hibiscusfall::testing;
 using namespace std::chrono_literals;
@@ -188,4 +193,28 @@
     BOOST_TEST(fleet.slots_came_back());
 }
 
+BOOST_AUTO_TEST_CASE(a_moved_stream_reports_the_first_token_of_its_new_engine)
+{
+    static constexpr auto delay = 60ms;
+    two_engines all(break_off,
+                    [](endpoint_connection& connection) {
+                        std::this_thread::sleep_for(delay);
+                        go_on(connection);
+                    },
+                    true,
+                    {.progress_interval = 0ms});
+    std::mutex mutex;
+    std::map<std::uint64_t, std::vector<core::duration>> first_tokens;
+    all.fleet.ports.progress = [&](std::uint64_t ticket, const core::run_progress& progress) {
+        const std::lock_guard lock(mutex);
+        first_tokens[ticket].push_back(progress.first_token);
+    };
+    all.fleet.start();
+    BOOST_TEST(all.fleet.call(completion(true)).complete);
+    BOOST_TEST_REQUIRE(first_tokens.size() == 2U);
+    for (const auto& reported : first_tokens.rbegin()->second) {
+        BOOST_TEST((reported >= delay));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
