--- a/src/traffic/request_relay.cpp
+++ b/src/traffic/request_relay.cpp
@@ -50,6 +50,7 @@
 /// Makes one attempt: a slot, an endpoint, its answer.
 request_end attempt(relay_context& context)
 {
+    context.kept = {};
     auto answer = acquire_slot(context, make_slot_request(context));
     if (const auto* denied = std::get_if<core::slot_denied>(&answer)) {
         return {.outcome = verdict::not_run(denied->reason, denied->detail),
--- a/tests/traffic/claim_test.cpp
+++ b/tests/traffic/claim_test.cpp
@@ -55,6 +55,14 @@
     }
 }
 
+void answer_with_error(endpoint_connection& connection)
+{
+    if (connection.read_request()) {
+        connection.write("HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\nContent-Length: 22\r\n\r\n"
+                         R"({"error":"overheated"})");
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(claim_test)
@@ -143,42 +151,62 @@
     BOOST_TEST(!all.claims.outcomes.front().body_kept);
 }
 
-BOOST_AUTO_TEST_CASE(a_kept_stream_has_no_bytes_of_the_answer_of_an_earlier_attempt)
+BOOST_AUTO_TEST_CASE(a_request_that_was_never_sent_frees_its_key)
 {
-    std::atomic<int> request_count{0};
-    const auto script = [&request_count](endpoint_connection& connection) {
-        while (connection.read_request()) {
-            connection.write(request_count++ == 0
-                                 ? "HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\n"
-                                   "Content-Length: 13\r\n\r\n{\"error\":\"x\"}"
-                                 : stream_head() + event_chunks(0, 2) + stream_end());
-        }
-    };
-    scripted_endpoint first{script};
-    scripted_endpoint second{script};
     recording_claims claims;
     test_fleet fleet;
     claims.connect(fleet.ports);
-    fleet.add_endpoint("d1", "draft", first.address());
-    fleet.add_endpoint("d2", "draft", second.address());
     fleet.start();
-    const auto answer = fleet.call(completion(true, "Idempotency-Key: k1\r\n"));
-    BOOST_TEST(answer.status == 200U);
-    BOOST_TEST(request_count == 2);
+    BOOST_TEST(fleet.call(booking("Idempotency-Key: k1\r\n")).verdict() == "not-run");
     BOOST_TEST_REQUIRE(claims.outcomes.size() == 1U);
-    BOOST_TEST(claims.outcomes.front().body_kept);
-    BOOST_TEST(claims.outcomes.front().body == answer.body);
+    BOOST_TEST(core::to_string(claims.outcomes.front().result.state) == "not-run");
 }
 
-BOOST_AUTO_TEST_CASE(a_request_that_was_never_sent_frees_its_key)
+BOOST_AUTO_TEST_CASE(an_error_of_an_earlier_attempt_is_not_kept_with_the_events_of_a_stream)
 {
+    scripted_endpoint failing{answer_with_error};
+    scripted_endpoint streaming{[](endpoint_connection& connection) {
+        if (connection.read_request()) {
+            connection.write(stream_head() + event_chunks(0, 3) + stream_end());
+        }
+    }};
     recording_claims claims;
     test_fleet fleet;
     claims.connect(fleet.ports);
+    fleet.add_endpoint("e1", "draft", failing.address());
+    fleet.add_endpoint("e2", "draft", streaming.address());
     fleet.start();
-    BOOST_TEST(fleet.call(booking("Idempotency-Key: k1\r\n")).verdict() == "not-run");
+    const auto answer = fleet.call(completion(true, "Idempotency-Key: k1\r\n"));
+    BOOST_TEST(failing.requests().size() == 1U);
     BOOST_TEST_REQUIRE(claims.outcomes.size() == 1U);
-    BOOST_TEST(core::to_string(claims.outcomes.front().result.state) == "not-run");
+    const auto& outcome = claims.outcomes.front();
+    BOOST_TEST(outcome.body_kept);
+    BOOST_TEST(outcome.body == answer.body);
+}
+
+BOOST_AUTO_TEST_CASE(an_error_that_its_caller_did_not_get_is_not_kept)
+{
+    for (const bool breaks_later : {false, true}) {
+        scripted_endpoint failing{answer_with_error};
+        scripted_endpoint breaking{[](endpoint_connection& connection) { connection.read_request(); }};
+        recording_claims claims;
+        test_fleet fleet;
+        claims.connect(fleet.ports);
+        fleet.add_endpoint("e1", "draft", failing.address());
+        if (breaks_later) {
+            fleet.add_endpoint("e2", "draft", breaking.address());
+        }
+        fleet.start();
+        const auto answer = fleet.call(completion(false, "Idempotency-Key: k1\r\n"));
+        BOOST_TEST(answer.verdict() == "may-have-run");
+        BOOST_TEST(answer.body.find("overheated") == std::string::npos);
+        BOOST_TEST(breaking.requests().size() == (breaks_later ? 1U : 0U));
+        BOOST_TEST_REQUIRE(claims.outcomes.size() == 1U);
+        const auto& outcome = claims.outcomes.front();
+        BOOST_TEST(core::to_string(outcome.result.state) == "may-have-run");
+        BOOST_TEST(outcome.status == 0);
+        BOOST_TEST(outcome.body.empty());
+    }
 }
 
 BOOST_AUTO_TEST_CASE(an_exception_settles_too)
