Compare positions of the store by era before revision

Cause: revisions go back with a restoration and are given out again, and they were compared over eras: by readers (a position that was too high was kept), in the list of endpoints and between instances. A watch from a revision that the store has again goes on with no sign but the era, and what lies below is missed. An answer of another era than the one that is read in is not applied: the prefix is listed again, also when the era changes between two pages. An answer of an earlier era is dropped, with the backoff of a failed call. Without a readable era the known one is taken. Reports and copies carry the era as a last field, which older instances pass over; an instance counts their reports as era 0. Fleets of two versions: an older instance compares revisions as before. A newer one that knows an era takes no list from older ones, so it does not rely on them as readers either (reader_candidate::earlier_era): it reads the store itself until two newer instances go before it. The same holds for instances cut off in an earlier era. crash_findings_test made an older report by leaving out the last field; the findings are the last but one now, so it leaves out two. Its checks are unchanged.

--- a/include/hibiscusfall/catalog/endpoint_list.hpp
+++ b/include/hibiscusfall/catalog/endpoint_list.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscusfall/catalog/store_position.hpp"
 #include "hibiscusfall/core/address.hpp"
 #include "hibiscusfall/core/identifiers.hpp"
 #include "hibiscusfall/core/instant.hpp"
@@ -33,18 +34,25 @@
 /// expired in the store although the endpoints are alive and will register again.
 struct endpoint_list {
     std::map<std::string, endpoint> entries; ///< By store key.
-    std::uint64_t revision = 0;              ///< Store revision that the entries reflect.
+    store_position position;                 ///< Of the store that the entries reflect.
     std::set<std::string>
         invalid_keys; ///< Keys whose value could not be parsed, so that each is logged once.
     std::map<std::string, core::instant>
-        pending_removals;                       ///< Entries missing from the store, and when to remove them.
-    std::uint64_t revision_before_removals = 0; ///< Store revision before the first pending removal.
+        pending_removals;                    ///< Entries missing from the store, and when to remove them.
+    store_position position_before_removals; ///< Before the first pending removal.
 };
 
-/// @brief The revision up to which the list matches the store.
-/// @remarks Lower than @c revision while removals are pending, so that the list of a peer that has removed
-/// the entries counts as newer.
-[[nodiscard]] std::uint64_t confirmed_revision(const endpoint_list& list) noexcept;
+/// @brief The position up to which the list matches the store.
+/// @remarks Lower than @c position while removals are pending, so that the list of a peer that has removed
+/// the entries counts as newer; not lower in era, as all instances learn of a new era alike.
+[[nodiscard]] store_position confirmed_position(const endpoint_list& list) noexcept;
+
+/// @brief Enters a new era: what was read in earlier ones is older than any reading in this one. Does nothing
+/// in the same or a later era.
+void begin_era(endpoint_list& list, std::uint64_t era) noexcept;
+
+/// @brief Records that the list matches the store at @p position, as a peer with an equal list reports.
+void confirm(endpoint_list& list, store_position position) noexcept;
 
 /// @brief A change of one entry; without a value the entry was removed or could not be parsed.
 struct entry_change {
@@ -53,19 +61,19 @@
     bool removed = false; ///< Whether the entry was removed, as opposed to malformed.
 };
 
-/// @brief Applies changes; does nothing if @p revision is older than that of the list.
+/// @brief Applies changes; does nothing if @p position is older than that of the list.
 /// @param remove_at Until when entries missing from the store are kept, see @c removal_deadline.
-/// @returns Whether anything other than the revision changed.
+/// @returns Whether anything other than the position changed.
 bool apply_changes(endpoint_list& list,
                    const std::vector<entry_change>& changes,
-                   std::uint64_t revision,
+                   store_position position,
                    core::instant remove_at,
                    core::instant now);
 
 /// @brief Applies a complete listing: entries that it lacks count as removed.
 bool apply_snapshot(endpoint_list& list,
                     const std::vector<entry_change>& snapshot,
-                    std::uint64_t revision,
+                    store_position position,
                     core::instant remove_at,
                     core::instant now);
 
--- a/include/hibiscusfall/peers/catalog_copy.hpp
+++ b/include/hibiscusfall/peers/catalog_copy.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "hibiscusfall/catalog/store_position.hpp"
+
 #include <msgpack.hpp>
 
 #include <cstdint>
@@ -24,7 +26,14 @@
     std::string table;               ///< Encoded configuration; empty if the requester has this version.
     std::uint64_t list_revision = 0; ///< Zero if the requester has the same endpoints.
     std::vector<std::pair<std::string, std::string>> entries; ///< Store keys and encoded values.
-    MSGPACK_DEFINE(table_version, table, list_revision, entries)
+    std::uint64_t list_era = 0; ///< Of the store; zero in a copy of an instance that knows no eras.
+    MSGPACK_DEFINE(table_version, table, list_revision, entries, list_era)
 };
 
+/// @brief The position of the store that the endpoints of a copy reflect.
+[[nodiscard]] inline catalog::store_position list_position(const catalog_copy& copy) noexcept
+{
+    return {.era = copy.list_era, .revision = copy.list_revision};
+}
+
 } // namespace hibiscusfall::peers
--- a/include/hibiscusfall/peers/copy_source.hpp
+++ b/include/hibiscusfall/peers/copy_source.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscusfall/catalog/store_position.hpp"
 #include "hibiscusfall/core/instant.hpp"
 
 #include <cstddef>
@@ -14,7 +15,7 @@
 /// @brief An instance that has a newer catalog.
 struct copy_candidate {
     std::string_view name;
-    std::uint64_t list_revision = 0;
+    catalog::store_position list_position{};
     bool own_domain = false; ///< Whether it is in the requester's failure domain.
 };
 
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hibiscusfall/catalog/store_position.hpp"
 #include "hibiscusfall/dispatch/fleet_state.hpp"
 
 #include <msgpack.hpp>
@@ -102,6 +103,7 @@
     double cpu_cores = 1;                        ///< CPU available to the sender, in cores.
     std::vector<dispatch::endpoint_tag> leaving_endpoints{}; ///< Endpoints that announced that they leave.
     crash_findings crashes{};
+    std::uint64_t list_era = 0; ///< Era of @c list_revision; zero from an instance that knows no eras.
     MSGPACK_DEFINE(format,
                    instance,
                    incarnation,
@@ -120,9 +122,16 @@
                    member_addresses,
                    cpu_cores,
                    leaving_endpoints,
-                   crashes)
+                   crashes,
+                   list_era)
 };
 
+/// @brief The position of the store that the sender's endpoint list reflects.
+[[nodiscard]] inline catalog::store_position list_position(const load_report& report) noexcept
+{
+    return {.era = report.list_era, .revision = report.list_revision};
+}
+
 inline constexpr std::uint32_t report_format = 2;
 
 /// @brief Unpacks an object from untrusted bytes. Limits every length to the number of bytes given, as each
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -32,15 +32,15 @@
     std::function<catalog_copy(const catalog_request&)> copy_catalog;
     std::function<void(const catalog_copy&)> apply_copy;
     std::function<std::uint64_t()> table_version;
-    std::function<std::uint64_t()> list_revision;
+    std::function<catalog::store_position()> list_position;
     std::function<std::uint64_t()> list_digest;
     std::function<core::duration(core::instant now)>
         configuration_age;                        ///< Time since the store last confirmed the configuration.
     std::function<bool()> store_failing;          ///< Whether the last store call failed.
     std::function<void(bool)> enable_store_reads; ///< Receives whether this instance should read the store.
-    /// Called when a peer reports the same configuration and endpoints. Receives the revision up to which the
+    /// Called when a peer reports the same configuration and endpoints. Receives the position up to which the
     /// endpoints are the same, and the time since the peer's configuration was confirmed.
-    std::function<void(std::uint64_t revision, core::duration age)> confirm;
+    std::function<void(catalog::store_position position, core::duration age)> confirm;
 };
 
 /// @brief Counters of the exchange.
@@ -77,7 +77,7 @@
         core::instant last_heard{};
         core::instant added_at{};
         std::uint64_t table_version = 0;
-        std::uint64_t list_revision = 0;
+        catalog::store_position list_position{};
         std::uint64_t list_digest = 0;
         core::duration configuration_age{}; ///< At the time of its last report.
         bool store_failing = false;
--- a/include/hibiscusfall/peers/store_readers.hpp
+++ b/include/hibiscusfall/peers/store_readers.hpp
@@ -15,6 +15,7 @@
     core::instant last_heard{};
     bool store_failing = false;
     bool leaving = false;
+    bool earlier_era = false; ///< Whether its catalog is of an earlier era of the store than the own one.
 };
 
 /// @brief Number of instances that read the store, independent of the fleet's size: two, as the loss of one
@@ -33,7 +34,8 @@
 /// @param others The other instances that it knows.
 /// @remarks Keeps the number of store calls independent of the fleet's size, as stores charge per call. While
 /// instances join and leave, views differ and some more instances may read; an instance cut off from the
-/// others reads for itself.
+/// others reads for itself. An instance in an earlier era, or of a version that knows none, is not counted as
+/// a reader: its catalog is not taken.
 [[nodiscard]] bool
 should_read_store(std::string_view own_name, std::span<const reader_candidate> others, core::instant now);
 
--- a/src/catalog/endpoint_list.cpp
+++ b/src/catalog/endpoint_list.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 
+#include <algorithm>
+
 namespace hibiscusfall::catalog
 {
 
@@ -27,7 +29,7 @@
     // A draining endpoint announced its shutdown and will not register again: remove it at once.
     if (change.removed && remove_at > now && !existing->second.draining) {
         if (list.pending_removals.empty()) {
-            list.revision_before_removals = list.revision;
+            list.position_before_removals = list.position;
         }
         list.pending_removals.try_emplace(change.key, remove_at);
         return false;
@@ -39,35 +41,49 @@
 
 } // namespace
 
-std::uint64_t confirmed_revision(const endpoint_list& list) noexcept
+store_position confirmed_position(const endpoint_list& list) noexcept
+{
+    const bool lowered =
+        !list.pending_removals.empty() && list.position_before_removals.era == list.position.era;
+    return lowered ? list.position_before_removals : list.position;
+}
+
+void begin_era(endpoint_list& list, std::uint64_t era) noexcept
+{
+    if (era > list.position.era) {
+        list.position = {.era = era, .revision = 0};
+    }
+}
+
+void confirm(endpoint_list& list, store_position position) noexcept
 {
-    return list.pending_removals.empty() ? list.revision : list.revision_before_removals;
+    list.position = std::max(list.position, position);
 }
 
 bool apply_changes(endpoint_list& list,
                    const std::vector<entry_change>& changes,
-                   std::uint64_t revision,
+                   store_position position,
                    core::instant remove_at,
                    core::instant now)
 {
-    if (revision < list.revision) {
+    if (position < list.position) {
         return false;
     }
     bool changed = false;
     for (const auto& change : changes) {
         changed = apply_change(list, change, remove_at, now) || changed;
     }
-    list.revision = revision;
+    list.position = position;
     return changed;
 }
 
 bool apply_snapshot(endpoint_list& list,
                     const std::vector<entry_change>& snapshot,
-                    std::uint64_t revision,
+                    store_position position,
                     core::instant remove_at,
                     core::instant now)
 {
-    if (revision < list.revision) {
+    if (position < list.position) {
         return false;
     }
     std::set<std::string> present;
@@ -85,7 +101,7 @@
     for (const auto& change : missing) {
         changed = apply_change(list, change, remove_at, now) || changed;
     }
-    list.revision = revision;
+    list.position = position;
     return changed;
 }
 
--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -53,17 +53,17 @@
         return;
     }
     const auto version = this->catalog.table_version();
-    const auto revision = this->catalog.list_revision();
+    const auto position = this->catalog.list_position();
     const auto digest = this->catalog.list_digest();
     const bool reads_from_store = this->reading_store && !this->catalog.store_failing();
     std::vector<copy_candidate> candidates;
     std::vector<const core::address*> addresses;
     for (const auto& [address, known] : this->members) {
-        const bool newer_list = known.list_revision > revision && known.list_digest != digest;
+        const bool newer_list = known.list_position > position && known.list_digest != digest;
         const bool newer = known.table_version > version || (newer_list && !reads_from_store);
         if (newer && known.last_heard + member_timeout > now) {
             candidates.push_back({.name = known.name,
-                                  .list_revision = known.list_revision,
+                                  .list_position = known.list_position,
                                   .own_domain = known.domain == this->entry.options.domain.view()});
             addresses.push_back(&address);
         }
@@ -174,6 +174,7 @@
         ++this->counters.copies_applied;
         telemetry::write(line.with("outcome", "taken")
                              .with("version", copy.table_version)
+                             .with("era", copy.list_era)
                              .with("revision", copy.list_revision));
         this->catalog.apply_copy(copy);
     } catch (const msgpack::unpack_error& exception) {
--- a/src/peers/copy_source.cpp
+++ b/src/peers/copy_source.cpp
@@ -10,7 +10,7 @@
 
 std::uint64_t rank(const copy_requester& requester, const copy_candidate& candidate)
 {
-    const auto seed = XXH64(requester.name.data(), requester.name.size(), candidate.list_revision);
+    const auto seed = XXH64(requester.name.data(), requester.name.size(), candidate.list_position.revision);
     return XXH64(candidate.name.data(), candidate.name.size(), seed);
 }
 
@@ -32,8 +32,8 @@
         }
         const auto& best_candidate = candidates[*best];
         const bool better = candidate.own_domain != best_candidate.own_domain ? candidate.own_domain
-                            : candidate.list_revision != best_candidate.list_revision
-                                ? candidate.list_revision > best_candidate.list_revision
+                            : candidate.list_position != best_candidate.list_position
+                                ? candidate.list_position > best_candidate.list_position
                                 : rank(requester, candidate) < rank(requester, best_candidate);
         best = better ? i : *best;
     }
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -246,7 +246,7 @@
     known.domain = report.domain;
     known.last_heard = now;
     known.table_version = report.table_version;
-    known.list_revision = report.list_revision;
+    known.list_position = list_position(report);
     known.list_digest = report.list_digest;
     known.configuration_age = milliseconds{report.configuration_age_ms};
     known.store_failing = report.store_failing;
@@ -254,7 +254,7 @@
     known.cpu_cores = report.cpu_cores;
     if (report.table_version == this->catalog.table_version() &&
         report.list_digest == this->catalog.list_digest()) {
-        this->catalog.confirm(report.list_revision, known.configuration_age);
+        this->catalog.confirm(known.list_position, known.configuration_age);
     }
     for (const auto& address : report.member_addresses) {
         if (const auto parsed = core::parse_address(address)) {
@@ -272,13 +272,15 @@
 
 void peer_exchange::choose_readers(core::instant now)
 {
+    const auto own_era = this->catalog.list_position().era;
     std::vector<reader_candidate> others;
     others.reserve(this->members.size());
     for (const auto& [address, known] : this->members) {
         others.push_back({.name = known.name,
                           .last_heard = known.last_heard,
                           .store_failing = known.store_failing,
-                          .leaving = known.leaving});
+                          .leaving = known.leaving,
+                          .earlier_era = known.list_position.era < own_era});
     }
     const bool should_read = should_read_store(this->entry.options.instance.view(), others, now);
     if (should_read != this->reading_store) {
--- a/src/peers/store_readers.cpp
+++ b/src/peers/store_readers.cpp
@@ -21,7 +21,7 @@
 {
     const auto own = rank(own_name);
     const auto before = std::count_if(others.begin(), others.end(), [&](const reader_candidate& each) {
-        return !each.name.empty() && !each.store_failing && !each.leaving &&
+        return !each.name.empty() && !each.store_failing && !each.leaving && !each.earlier_era &&
                now - each.last_heard <= reader_timeout && rank(each.name) < own;
     });
     return before < reader_count;
--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <future>
+#include <set>
 
 using namespace hibiscusfall;
 using namespace std::chrono_literals;
@@ -36,6 +37,9 @@
                         [this](const catalog::endpoint_list& list) {
                             const std::lock_guard lock(this->mutex);
                             this->latest_endpoints = list;
+                            for (const auto& [key, entry] : list.entries) {
+                                this->keys.insert(key);
+                            }
                         }})
     {
         this->follower.start();
@@ -67,6 +71,13 @@
         return this->latest_endpoints;
     }
 
+    /// @brief Keys that were in some list.
+    std::set<std::string> keys_seen()
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->keys;
+    }
+
     template <class task>
     auto on_loop(task work)
     {
@@ -80,6 +91,7 @@
 private:
     std::mutex mutex;
     catalog::endpoint_list latest_endpoints;
+    std::set<std::string> keys;
     relay::event_loop loop;
     adapter::catalog_follower follower;
     std::thread thread;
@@ -252,8 +264,8 @@
     BOOST_TEST(has_endpoints(reader, 1));
     std::this_thread::sleep_for(600ms); // after its outage, other keeps the entry that it read as removed
     BOOST_TEST(other.endpoints().entries.size() == 2U);
-    const auto revision = [](auto& each) { return each.list_revision(); };
-    BOOST_TEST(other.on_loop(revision) < reader.on_loop(revision));
+    const auto position = [](auto& each) { return each.list_position(); };
+    BOOST_TEST((other.on_loop(position) < reader.on_loop(position)));
     const auto copy = reader.on_loop([](auto& each) { return each.export_catalog(); });
     other.on_loop([&](auto& each) {
         each.import_catalog(copy);
@@ -290,4 +302,155 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(changes_after_a_restoration_are_applied_with_few_calls)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    const auto copy = store.snapshot();
+    for (int i = 0; i < 40; ++i) {
+        store.put("servers/i-" + std::to_string(i), entry());
+    }
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually(
+        [&] { return follower.version == 1 && follower.endpoints().entries.size() == 40; }));
+    store.restore(copy);
+    const auto before = store.request_count();
+    store.put("op/config", configuration(2));
+    store.put("servers/new", entry());
+    BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/new"); }));
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST(store.request_count() - before < 20U); // two prefixes, a watch each 0.7 s, and the listings
+}
+
+BOOST_AUTO_TEST_CASE(a_change_is_not_missed_when_the_revisions_have_passed_the_old_one)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    const auto copy = store.snapshot();
+    store.put("servers/i-1", entry());
+    store.put("servers/i-2", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually(
+        [&] { return follower.version == 1 && follower.endpoints().entries.size() == 2; }));
+    store.set_fault(platform_store::fault::unavailable);
+    std::this_thread::sleep_for(1500ms); // longer than a watch in progress may take
+    store.restore(copy);
+    store.put("op/config", configuration(2));
+    store.put("servers/new", entry());
+    for (int i = 0; i < 5; ++i) {
+        store.put("servers/i-1", entry());
+    }
+    store.set_fault(platform_store::fault::none);
+    BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/new"); }));
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_two_eras_are_not_joined)
+{
+    platform_store store;
+    store.set_page_size(1);
+    store.put("servers/i-2", entry());
+    store.put("servers/i-3", entry());
+    const auto copy = store.snapshot();
+    store.put("servers/i-1", entry());
+    store.restore_after_next_page(copy);
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() >= 2; }));
+    BOOST_TEST(!follower.keys_seen().contains("servers/i-1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_stays_in_force_when_the_store_is_restored_to_an_older_one)
+{
+    platform_store store;
+    store.put("op/config", configuration(5));
+    const auto copy = store.snapshot();
+    store.put("op/config", configuration(9));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 9; }));
+    store.restore(copy);
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(follower.version == 9U);
+    store.put("op/config", configuration(10));
+    BOOST_TEST(follower.eventually([&] { return follower.version == 10; }));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_of_an_earlier_era_is_dropped)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    store.set_era_header("0");
+    store.put("op/config", configuration(2));
+    std::this_thread::sleep_for(1500ms); // a watch from before the change of the header has ended
+    store.put("op/config", configuration(3));
+    const auto before = store.request_count();
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(follower.version < 3U);
+    BOOST_TEST(store.request_count() - before < 30U);
+    store.reset_era_header();
+    BOOST_TEST(follower.eventually([&] { return follower.version == 3; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_states_no_era_after_it_stated_one_is_followed_on)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    store.set_era_header(std::nullopt);
+    store.put("op/config", configuration(2));
+    BOOST_TEST(follower.eventually([&] { return follower.version == 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_a_later_era_with_a_lower_revision_is_newer)
+{
+    platform_store store;
+    const auto copy = store.snapshot();
+    store.put("servers/i-1", entry());
+    store.put("servers/i-2", entry());
+    running_follower reader{store};
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.size() == 2; }));
+    platform_store unavailable;
+    unavailable.set_fault(platform_store::fault::disconnect);
+    running_follower other{unavailable};
+    const auto give_copy = [&] {
+        const auto of_reader = reader.on_loop([](auto& each) { return each.export_catalog(); });
+        other.on_loop([&](auto& each) {
+            each.import_catalog(of_reader);
+            return 0;
+        });
+    };
+    give_copy();
+    BOOST_TEST(other.endpoints().entries.size() == 2U);
+    const auto position = [](auto& each) { return each.list_position(); };
+    const auto before = other.on_loop(position);
+    store.restore(copy);
+    store.put("servers/new", entry());
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.contains("servers/new"); }));
+    BOOST_TEST(reader.on_loop(position).revision < before.revision);
+    give_copy();
+    BOOST_TEST(other.endpoints().entries.contains("servers/new"));
+    BOOST_TEST(other.on_loop(position).era == store.current_era());
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_with_an_equal_list_confirms_a_later_era_and_not_an_earlier_one)
+{
+    platform_store store;
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
+    const auto confirmed = [&](catalog::store_position position) {
+        return follower.on_loop([&](auto& each) {
+            each.confirm(position, 0ms, relay::event_loop::now());
+            return each.list_position();
+        });
+    };
+    const auto known = follower.on_loop([](auto& each) { return each.list_position(); });
+    BOOST_CHECK(confirmed({.era = 0, .revision = 99}) == known);
+    const catalog::store_position later{.era = known.era + 1, .revision = 1};
+    BOOST_CHECK(confirmed(later) == later);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace hibiscusfall::testing
 {
@@ -100,6 +101,17 @@
 void platform_store::restore(const copy& earlier)
 {
     const std::lock_guard lock(this->mutex);
+    this->replace_with(earlier);
+}
+
+void platform_store::restore_after_next_page(copy earlier)
+{
+    const std::lock_guard lock(this->mutex);
+    this->restored_after_page = std::move(earlier);
+}
+
+void platform_store::replace_with(const copy& earlier)
+{
     this->items = earlier.items;
     this->revision = earlier.revision;
     this->history.clear();
@@ -206,8 +218,12 @@
         page_items.push_back(
             {{"key", key}, {"value", encoding::to_base64(stored.value)}, {"revision", stored.revision}});
     }
-    return this->make_answer(
+    auto page = this->make_answer(
         200, json{{"items", page_items}, {"has-more", has_more}, {"as-of", this->revision}}.dump());
+    if (has_more && this->restored_after_page) {
+        this->replace_with(*std::exchange(this->restored_after_page, std::nullopt));
+    }
+    return page;
 }
 
 platform_store::answer
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -62,6 +62,9 @@
     /// @remarks A watch from a revision that the copy lacks gets status 410 until new writes have passed it.
     void restore(const copy& earlier);
 
+    /// @brief Restores the copy as soon as the next page that others follow has been read.
+    void restore_after_next_page(copy earlier);
+
     /// @brief Sends @p text as the era in place of its number; without a value the header is not sent.
     void set_era_header(std::optional<std::string> text);
 
@@ -96,7 +99,8 @@
     answer handle(const std::string& target);
     answer handle_range(const std::string& prefix, const std::string& after);
     answer handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms);
-    /// The caller holds the mutex.
+    /// @name The caller holds the mutex.
+    void replace_with(const copy& earlier);
     [[nodiscard]] answer make_answer(unsigned status, std::string body) const;
 
     boost::asio::io_context io;
@@ -107,6 +111,7 @@
     std::uint64_t revision = 1;
     std::uint64_t compacted_revision = 0; ///< Watches from before this revision are refused.
     std::uint64_t era = 1;                ///< Rises with each restoration.
+    std::optional<copy> restored_after_page;
     bool custom_era_header = false;
     std::optional<std::string> era_header; ///< Sent when @c custom_era_header is set.
     std::size_t page_size = 500;
--- a/tests/peers/copy_source_test.cpp
+++ b/tests/peers/copy_source_test.cpp
@@ -16,7 +16,7 @@
 
 BOOST_AUTO_TEST_CASE(only_the_hub_fetches_from_another_domain_at_first)
 {
-    const std::vector<copy_candidate> candidates{{.name = "reader", .list_revision = 7}};
+    const std::vector<copy_candidate> candidates{{.name = "reader", .list_position = {.revision = 7}}};
     BOOST_TEST(
         choose_copy_source({.name = "hub", .is_hub = true, .hub_fetch_time = 300ms}, candidates).has_value());
     BOOST_TEST(!choose_copy_source({.name = "a", .time_behind = 100ms, .hub_fetch_time = 300ms}, candidates)
@@ -27,13 +27,21 @@
 
 BOOST_AUTO_TEST_CASE(a_neighbour_goes_before_a_newer_instance_far_away)
 {
-    const std::vector<copy_candidate> candidates{{.name = "reader", .list_revision = 8},
-                                                 {.name = "hub", .list_revision = 7, .own_domain = true}};
+    const std::vector<copy_candidate> candidates{
+        {.name = "reader", .list_position = {.revision = 8}},
+        {.name = "hub", .list_position = {.revision = 7}, .own_domain = true}};
     BOOST_TEST(
         choose_copy_source({.name = "a", .time_behind = 1s, .hub_fetch_time = 300ms}, candidates).value() ==
         1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_later_era_with_a_lower_revision_goes_before_an_earlier_one)
+{
+    const std::vector<copy_candidate> candidates{{.name = "a", .list_position = {.era = 1, .revision = 18}},
+                                                 {.name = "b", .list_position = {.era = 2, .revision = 3}}};
+    BOOST_TEST(choose_copy_source({.name = "c", .is_hub = true}, candidates).value() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(instances_spread_over_the_sources)
 {
     std::vector<std::string> names;
@@ -42,8 +50,9 @@
     }
     std::vector<copy_candidate> candidates;
     for (int i = 0; i < 10; ++i) {
-        candidates.push_back(
-            {.name = names[static_cast<std::size_t>(i)], .list_revision = 7, .own_domain = true});
+        candidates.push_back({.name = names[static_cast<std::size_t>(i)],
+                              .list_position = {.revision = 7},
+                              .own_domain = true});
     }
     std::map<std::size_t, int> requests_by_source;
     for (const auto& name : names) {
--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -280,8 +280,9 @@
     const auto& fields = whole.get().via.array;
     msgpack::sbuffer older;
     msgpack::packer packer{older};
-    packer.pack_array(fields.size - 1);
-    for (std::uint32_t i = 0; i + 1 < fields.size; ++i) {
+    const auto older_fields = fields.size - 2; // without the findings and the era, which came after them
+    packer.pack_array(older_fields);
+    for (std::uint32_t i = 0; i < older_fields; ++i) {
         packer.pack(fields.ptr[i]);
     }
     const auto read_older = peers::decode({older.data(), older.size()});
--- a/tests/peers/load_report_test.cpp
+++ b/tests/peers/load_report_test.cpp
@@ -63,6 +63,29 @@
     BOOST_TEST(read->member_addresses.front() == "10.0.0.3:7400");
 }
 
+BOOST_AUTO_TEST_CASE(a_report_of_an_instance_that_knows_no_eras_is_of_era_zero)
+{
+    auto original = make_report(3, 9, 100, 2);
+    original.list_revision = 18;
+    original.list_era = 4;
+    const auto bytes = peers::encode(original);
+    const auto read = peers::decode({bytes.data(), bytes.size()});
+    BOOST_REQUIRE(read.has_value());
+    BOOST_CHECK(peers::list_position(*read) == (catalog::store_position{.era = 4, .revision = 18}));
+    const auto whole = msgpack::unpack(bytes.data(), bytes.size());
+    const auto& fields = whole.get().via.array;
+    msgpack::sbuffer older;
+    msgpack::packer packer{older};
+    packer.pack_array(fields.size - 1);
+    for (std::uint32_t i = 0; i + 1 < fields.size; ++i) {
+        packer.pack(fields.ptr[i]);
+    }
+    const auto read_older = peers::decode({older.data(), older.size()});
+    BOOST_REQUIRE(read_older.has_value());
+    BOOST_TEST(read_older->instance == "peer");
+    BOOST_CHECK(peers::list_position(*read_older) == (catalog::store_position{.era = 0, .revision = 18}));
+}
+
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_report_are_refused)
 {
     BOOST_TEST(rc::check("any bytes are read without harm", [] {
--- a/tests/peers/store_readers_test.cpp
+++ b/tests/peers/store_readers_test.cpp
@@ -89,6 +89,16 @@
     BOOST_TEST(readers_without_leaving == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(readers_whose_catalog_is_of_an_earlier_era_are_not_relied_on)
+{
+    const auto instance_names = make_names(9);
+    auto fleet = make_fleet(instance_names);
+    for (auto& each : fleet) {
+        each.earlier_era = true;
+    }
+    BOOST_TEST(count_readers(fleet, start) == 9U);
+}
+
 BOOST_AUTO_TEST_CASE(when_all_start_at_once_some_read_the_store_within_300_ms)
 {
     BOOST_TEST((peers::first_selection_delay <= 300ms));
