Withhold what a restored copy of the store would undo

Seen, by reading after the positions were compared by era: a listing of the restored store was taken as it stood. An endpoint that drains became ready again, one that had left was used again until its entry lapsed, one that had started again under its id got its earlier start back, and a live endpoint that the copy lacks was dropped until it wrote again. Cause: the copy is some seconds older than what instances knew, and nothing told old from new. Change: catalog::endpoint_list begins a settling period when it first sees a later era, from the store or from a peer. Missing entries are kept for reregistration_grace, as after an outage. Entries that show a known draining endpoint as ready, an earlier start, or one removed in the minute before the restoration are withheld, until they are removed, replaced by a later start, or the period ends; then the word of the store holds. The period is reregistration_grace and three heartbeats, after which an endpoint that has left has lapsed. Removals are remembered by key, at most 1024 for a minute. Peers get the entries in force. A list that keeps entries after a restoration counts as new as the store, unlike after an outage of one's own: all instances keep them, and those that do not read would learn nothing new for two seconds. An instance that starts meanwhile takes what the store shows; copies of it undo nothing at the others.

--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -453,4 +453,44 @@
     BOOST_CHECK(confirmed(later) == later);
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_that_drains_or_has_left_stays_so_after_a_restoration_also_in_copies)
+{
+    platform_store store;
+    store.put("servers/drains", entry());
+    store.put("servers/left", entry());
+    store.put("servers/stays", entry());
+    const auto copy = store.snapshot();
+    store.put("servers/drains", entry("draining"));
+    running_follower reader{store};
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.size() == 3; }));
+    store.remove("servers/left");
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.size() == 2; }));
+    store.restore(copy);
+    BOOST_TEST(reader.eventually([&] {
+        return reader.on_loop([](auto& each) { return each.list_position(); }).era == store.current_era() &&
+               reader.on_loop([](auto& each) { return each.list_position(); }).revision > 0;
+    }));
+    store.put("servers/new", entry());
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.contains("servers/new"); }));
+    BOOST_TEST(reader.endpoints().entries.at("servers/drains").draining);
+    BOOST_TEST(!reader.endpoints().entries.contains("servers/left"));
+    platform_store unavailable;
+    unavailable.set_fault(platform_store::fault::unavailable);
+    running_follower newcomer{unavailable};
+    const auto of_reader = reader.on_loop([](auto& each) { return each.export_catalog(); });
+    newcomer.on_loop([&](auto& each) {
+        each.import_catalog(of_reader);
+        return 0;
+    });
+    BOOST_TEST(newcomer.endpoints().entries.at("servers/drains").draining);
+    BOOST_TEST(!newcomer.endpoints().entries.contains("servers/left"));
+    const auto digest = [](auto& each) { return each.list_digest(); };
+    BOOST_TEST(newcomer.on_loop(digest) == reader.on_loop(digest));
+    // The entries of this stand-in do not lapse.
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.contains("servers/left"); }, 10s));
+    BOOST_TEST(!reader.endpoints().entries.at("servers/drains").draining);
+    const auto settled = reader.on_loop([](auto& each) { return each.export_catalog(); });
+    BOOST_TEST(settled.entries.size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/catalog/endpoint_list_test.cpp
+++ b/tests/catalog/endpoint_list_test.cpp
@@ -62,8 +62,8 @@
     catalog::apply_changes(list, {entry("a"), entry("b")}, {.revision = 1}, no_outage, start);
     catalog::apply_snapshot(list, {entry("b")}, {.revision = 9}, start + 2200ms, start);
     BOOST_TEST(list.entries.size() == 2U);
-    BOOST_TEST(!catalog::remove_expired(list, start + 2s));
-    BOOST_TEST(catalog::remove_expired(list, start + 2300ms));
+    BOOST_TEST(!catalog::apply_deadlines(list, start + 2s));
+    BOOST_TEST(catalog::apply_deadlines(list, start + 2300ms));
     BOOST_TEST(list.entries.size() == 1U);
 }
 
@@ -73,7 +73,7 @@
     catalog::apply_changes(list, {entry("a")}, {.revision = 1}, no_outage, start);
     catalog::apply_changes(list, {removed_entry("a")}, {.revision = 2}, start + 2200ms, start);
     catalog::apply_changes(list, {entry("a")}, {.revision = 3}, start + 2200ms, start + 1s);
-    BOOST_TEST(!catalog::remove_expired(list, start + 10s));
+    BOOST_TEST(!catalog::apply_deadlines(list, start + 10s));
     BOOST_TEST(list.entries.size() == 1U);
 }
 
@@ -100,8 +100,8 @@
     catalog::endpoint_list list;
     catalog::apply_changes(list, {entry("a")}, {.revision = 1}, no_outage, start);
     catalog::apply_changes(list, {removed_entry("a")}, {.revision = 2}, start + 300ms, start);
-    BOOST_TEST(!catalog::remove_expired(list, start + 200ms));
-    BOOST_TEST(catalog::remove_expired(list, start + 300ms));
+    BOOST_TEST(!catalog::apply_deadlines(list, start + 200ms));
+    BOOST_TEST(catalog::apply_deadlines(list, start + 300ms));
 }
 
 BOOST_AUTO_TEST_CASE(a_list_with_lapsing_entries_is_older_than_that_of_a_peer_that_dropped_them)
@@ -121,7 +121,7 @@
     catalog::endpoint_list list;
     catalog::apply_changes(list, {entry("a")}, {.revision = 34}, no_outage, start);
     catalog::apply_changes(list, {removed_entry("a")}, {.revision = 35}, start + 2s, start);
-    BOOST_TEST(catalog::remove_expired(list, start + 2s));
+    BOOST_TEST(catalog::apply_deadlines(list, start + 2s));
     BOOST_TEST(catalog::confirmed_position(list).revision == 35U);
 }
 
