Relay an error of the own interface's endpoints never as a stream

What callers could see: an engine's 500 whose content type was that of a stream was relayed as a stream, counted as answered and, with a key, kept as the request's outcome. Cause: only the content type decided how an answer is relayed. Change: only a 200 is relayed as a stream; other answers are read whole and judged by their status, as a resume does.

--- a/src/traffic/request_relay.cpp
+++ b/src/traffic/request_relay.cpp
@@ -42,9 +42,10 @@
 
 verdict relay_from(relay_context& context, candidate& source)
 {
-    const auto type = to_view(source.exchange->head()[http::field::content_type]);
-    return type.starts_with("text/event-stream") ? relay_stream(context, source)
-                                                 : relay_whole(context, source);
+    const auto& head = source.exchange->head();
+    const bool is_stream = head.result() == http::status::ok &&
+                           to_view(head[http::field::content_type]).starts_with("text/event-stream");
+    return is_stream ? relay_stream(context, source) : relay_whole(context, source);
 }
 
 /// Makes one attempt: a slot, an endpoint, its answer.
--- a/tests/traffic/stream_test.cpp
+++ b/tests/traffic/stream_test.cpp
@@ -244,6 +244,22 @@
     BOOST_TEST(all.engine.cancels().size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_error_with_the_type_of_a_stream_is_not_relayed_as_a_stream)
+{
+    engine_fleet all([](endpoint_connection& connection) {
+        if (connection.read_request()) {
+            connection.write("HTTP/1.1 500 Failed\r\nContent-Type: text/event-stream\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n" +
+                             chunk("data: overheated\n\n") + stream_end());
+        }
+    });
+    const auto answer = all.fleet.call(completion(true));
+    BOOST_TEST(answer.verdict() == "may-have-run");
+    BOOST_TEST(answer.body.find("overheated") == std::string::npos);
+    BOOST_TEST(all.fleet.slots_came_back());
+    BOOST_TEST(!all.fleet.usages().front().answered);
+}
+
 BOOST_AUTO_TEST_CASE(progress_is_reported_at_a_bounded_rate)
 {
     traffic::caller_server_options options;
