Keep the failure on a kept connection when the endpoint then refuses a new one

What callers saw: "not-run" with the reason "none" for a request that had been sent whole on a kept connection, which the endpoint closed without an answer before it refused the second connection. It may have run. Cause: the exchange that knew of the failure was replaced by that of the new connection, whose own failure had not been set, as it never came to reading. Evidence, on the code before: a_request_sent_on_a_kept_connection_may_have_run_if_its_endpoint_then_refuses_connections fails at "answer.verdict() == "may-have-run"" (not-run != may-have-run). Change: the failure on the kept connection is taken before the request is sent again, and combined with that of the new connection, as failures of attempts are.

--- a/src/traffic/endpoint_race.cpp
+++ b/src/traffic/endpoint_race.cpp
@@ -34,7 +34,7 @@
     std::optional<verdict> give_up(core::instant now);
     void wait(core::instant now);
     std::unique_ptr<candidate> advance_all();
-    bool resend_after_stale_connection(candidate& target);
+    bool resend_after_stale_connection(candidate& target, verdict& outcome);
     void drop(std::size_t index, const verdict& outcome);
     void hedge(core::instant now);
     [[nodiscard]] core::instant hedge_time() const;
@@ -149,21 +149,30 @@
             this->cancel_all();
             return winner;
         }
-        if (progress == answer_progress::waiting || this->resend_after_stale_connection(item)) {
+        auto outcome = item.exchange->last_failure();
+        if (progress == answer_progress::waiting || this->resend_after_stale_connection(item, outcome)) {
             ++index;
             continue;
         }
-        this->drop(index, item.exchange->last_failure());
+        this->drop(index, outcome);
     }
     return nullptr;
 }
 
 /// A kept connection that the endpoint closed without an answer says nothing about the endpoint.
-bool race::resend_after_stale_connection(candidate& target)
+/// @param outcome Failure on the kept connection; combined with that of the new one if it fails too.
+bool race::resend_after_stale_connection(candidate& target, verdict& outcome)
 {
     const auto& exchange = *target.exchange;
-    return exchange.used_kept_connection() && !exchange.received_any() &&
-           this->context.plan.service->repeatable && send_to(this->context, target, true).answered();
+    if (!exchange.used_kept_connection() || exchange.received_any() ||
+        !this->context.plan.service->repeatable) {
+        return false;
+    }
+    const auto sent = send_to(this->context, target, true);
+    if (!sent.answered()) {
+        outcome = combine(outcome, sent);
+    }
+    return sent.answered();
 }
 
 void race::drop(std::size_t index, const verdict& outcome)
--- a/tests/traffic/verdict_test.cpp
+++ b/tests/traffic/verdict_test.cpp
@@ -318,4 +318,26 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_request_sent_on_a_kept_connection_may_have_run_if_its_endpoint_then_refuses_connections)
+{
+    scripted_endpoint drafts{[](endpoint_connection& connection) {
+        if (const auto request = connection.read_request()) {
+            connection.write(json_answer("{}", id_header(*request)));
+            if (connection.read_request()) {
+                connection.crash_endpoint();
+            }
+        }
+    }};
+    test_fleet fleet;
+    fleet.add_endpoint("d1", "draft", drafts.address());
+    fleet.start();
+    BOOST_TEST(fleet.call(completion(false)).verdict() == "ran");
+    const auto answer = fleet.call(completion(false));
+    BOOST_TEST(drafts.requests().size() == 2U);
+    BOOST_TEST(answer.verdict() == "may-have-run");
+    BOOST_TEST(answer.code() == "connection-failed");
+    BOOST_TEST(fleet.slots_came_back());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
