Charge no tokens of a failed attempt for the answer of the next one

What teams saw: an error whose body told of 100 tokens, followed by a good answer without a count at another endpoint, was charged as 51 instead of 1. The time of the first byte was that of the error as well. Cause: tokens and first byte of an attempt were kept with the request, and only answers that tell them set them. Evidence, on the code before: an_answer_does_not_cost_the_tokens_of_an_earlier_attempt_that_failed fails at "usages[1].cost == 1" (51 != 1). Change: both start anew with each attempt.

--- a/src/traffic/request_relay.cpp
+++ b/src/traffic/request_relay.cpp
@@ -52,6 +52,8 @@
 request_end attempt(relay_context& context)
 {
     context.kept = {};
+    context.totals.tokens = 0;
+    context.totals.first_byte.reset();
     auto answer = acquire_slot(context, make_slot_request(context));
     if (const auto* denied = std::get_if<core::slot_denied>(&answer)) {
         return {.outcome = verdict::not_run(denied->reason, denied->detail),
--- a/tests/traffic/verdict_test.cpp
+++ b/tests/traffic/verdict_test.cpp
@@ -340,4 +340,27 @@
     BOOST_TEST(fleet.slots_came_back());
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_does_not_cost_the_tokens_of_an_earlier_attempt_that_failed)
+{
+    scripted_endpoint failing{[](endpoint_connection& connection) {
+        if (connection.read_request()) {
+            connection.write(
+                "HTTP/1.1 500 Failed\r\nContent-Type: application/json\r\nContent-Length: 35\r\n\r\n"
+                R"({"usage":{"completion_tokens":100}})");
+        }
+    }};
+    scripted_endpoint well{answer_well};
+    test_fleet fleet;
+    fleet.add_endpoint("d1", "draft", failing.address());
+    fleet.add_endpoint("d2", "draft", well.address());
+    fleet.start();
+    BOOST_TEST(fleet.call(completion(false)).verdict() == "ran");
+    BOOST_TEST(failing.requests().size() == 1U);
+    BOOST_TEST(fleet.slots_came_back());
+    const auto usages = fleet.usages();
+    BOOST_TEST_REQUIRE(usages.size() == 2U);
+    BOOST_TEST(usages[1].answered);
+    BOOST_TEST(usages[1].cost == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
