Take no comment for the beginning of a stream

What callers could see: a response without length or chunks that ended after a comment was passed on as whole, without any event. A resumable stream that broke after a comment and before its first event broke for the caller, though nothing had to be resumed. Cause: any text that was passed on counted as the first event: for the end of the connection, the time limit of the attempt, the measured time to first token, crash attribution, and the question whether a stream has begun. Whether the next attempt starts from the beginning was decided by the head, not by the events that were delivered. Evidence, on the code before: a_stream_without_length_or_chunks_that_ends_after_a_comment_does_not_look_whole fails at "!fixture.ask(...).ends_with(last_chunk)", a_resumable_stream_that_breaks_after_a_comment_starts_elsewhere at "contains(answer, "\r\n" + numbered_event(1))" and "answer.ends_with(last_chunk)". Change: only events with data count. The next attempt continues after the delivered events, and starts from the beginning if there are none, whether the head was sent or not.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -185,7 +185,8 @@
     co_await state.caller.write(status, text);
 }
 
-void note_event(request_state& state, core::instant now)
+/// Records that an event arrived; comments and the end mark are none.
+void note_event(request_state& state, dispatch::running_request& running, core::instant now)
 {
     if (state.first_event == core::duration::zero()) {
         state.first_event = core::elapsed(state.arrived, now);
@@ -193,6 +194,18 @@
         state.longest_pause = std::max(state.longest_pause, core::elapsed(state.last_event, now));
     }
     state.last_event = now;
+    if (!running.first_event_seen) {
+        record_answer_start(state, running.ticket);
+        const auto error = dispatch::record_first_event(
+            state.server.fleet, running, now - observation_delay(state.server.load));
+        state.server.first_event_latency.record(error.observed);
+        if (error.observed >= error.expected) {
+            state.server.late_first_events.record(error.observed - error.expected);
+        } else {
+            state.server.early_first_events.record(error.expected - error.observed);
+        }
+    }
+    dispatch::record_event(state.server.fleet, running, now);
 }
 
 /// Whether the caller has received as many events as tokens were requested, so that no event can follow.
@@ -248,23 +261,10 @@
         if (scanner.ready.empty()) {
             continue;
         }
-        const auto now = event_loop::now();
         if (scanner.progress.tokens > events_before) {
-            progress = now;
-        }
-        note_event(state, now);
-        if (!running.first_event_seen) {
-            record_answer_start(state, running.ticket);
-            const auto error = dispatch::record_first_event(
-                state.server.fleet, running, now - observation_delay(state.server.load));
-            state.server.first_event_latency.record(error.observed);
-            if (error.observed >= error.expected) {
-                state.server.late_first_events.record(error.observed - error.expected);
-            } else {
-                state.server.early_first_events.record(error.expected - error.observed);
-            }
+            progress = event_loop::now();
+            note_event(state, running, progress);
         }
-        dispatch::record_event(state.server.fleet, running, now);
         if (!state.head_sent) {
             co_await send_stream_head(state, parser.get());
         }
@@ -389,7 +389,7 @@
     }
     if (state.route->kind == catalog::route_kind::stream && is_stream && metadata.is_signed &&
         !metadata.request_id.empty()) {
-        auto scanner = state.head_sent ? traffic::continue_after(state.delivered) : traffic::event_scanner{};
+        auto scanner = scanner_for_next_attempt(state);
         if (!scanner) {
             connection->close();
             co_return failed(verdict::may_have_run(failure::connection_broken,
@@ -429,6 +429,13 @@
 
 } // namespace
 
+std::optional<traffic::event_scanner> scanner_for_next_attempt(const request_state& state)
+{
+    const auto& delivered = state.delivered;
+    const bool is_begun = delivered.tokens > 0 || delivered.last_id || delivered.ended;
+    return is_begun ? traffic::continue_after(delivered) : traffic::event_scanner{};
+}
+
 std::string response_fields(const response_head& head)
 {
     http::fields fields{head};
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -65,6 +65,11 @@
 asio::awaitable<attempt_result>
 run_attempt(request_state& state, dispatch::running_request& running, core::instant limit);
 
+/// @brief A scanner for the response of the next attempt, which continues after the delivered events or
+/// starts from the beginning if there are none.
+/// @returns Nothing when the stream cannot be resumed.
+[[nodiscard]] std::optional<traffic::event_scanner> scanner_for_next_attempt(const request_state& state);
+
 /// @brief Sends a buffered response to the caller.
 asio::awaitable<void> send_response(request_state& state, const buffered_response& answer);
 
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -311,7 +311,7 @@
         if (end.outcome.state != run_state::not_run && this->state.possible_runs >= route.max_attempts) {
             return false;
         }
-        if (this->state.head_sent && !traffic::continue_after(this->state.delivered)) {
+        if (!scanner_for_next_attempt(this->state)) {
             return false;
         }
         if (this->may_crash_another(end, running)) {
--- a/tests/relay/stream_relay_test.cpp
+++ b/tests/relay/stream_relay_test.cpp
@@ -402,4 +402,47 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_without_length_or_chunks_that_ends_after_a_comment_does_not_look_whole)
+{
+    const auto unframed = [](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        connection.write(unframed_stream_head(request->id) + ": comment\n\n");
+    };
+    relay_fixture fixture{{unframed}, route_of(route_kind::stream)};
+    BOOST_TEST(!fixture.ask(request_bytes("1")).ends_with(last_chunk));
+}
+
+BOOST_AUTO_TEST_CASE(a_resumable_stream_that_breaks_after_a_comment_starts_elsewhere)
+{
+    for (const std::string_view cut_text : {"", "id: 1\nda"}) {
+        std::atomic<int> request_count{0};
+        const auto script = [&](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            if (!request) {
+                return;
+            }
+            if (request_count++ == 0) {
+                connection.write(signed_stream_head(request->id) + chunk(": comment\n\n"));
+                std::this_thread::sleep_for(20ms);
+                if (!cut_text.empty()) {
+                    connection.write(chunk(cut_text));
+                }
+                connection.reset();
+                return;
+            }
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 4) + last_chunk);
+            connection.wait_for_close();
+        };
+        relay_fixture fixture{{script, script}, route_of(route_kind::stream, 2, true)};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(count(answer, "HTTP/1.1") == 1U);
+        BOOST_TEST(contains(answer, ": comment\n\n"));
+        BOOST_TEST(contains(answer, "\r\n" + numbered_event(1)));
+        for (int id = 1; id < 4; ++id) {
+            BOOST_TEST(count(answer, "id: " + std::to_string(id) + "\n") == 1U);
+        }
+        BOOST_TEST(answer.ends_with(last_chunk));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
