--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -6,6 +6,7 @@
 
 #include <future>
 #include <set>
+#include <stdexcept>
 
 using namespace hibiscusfall;
 using namespace std::chrono_literals;
@@ -493,4 +494,42 @@
     BOOST_TEST(settled.entries.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(an_exception_from_a_handler_does_not_end_following_and_what_it_was_given_is_given_again)
+{
+    platform_store store;
+    store.put("op/config", configuration(3));
+    store.put("servers/i-1", entry());
+    relay::event_loop loop;
+    std::atomic<std::uint64_t> version{0};
+    std::atomic<std::size_t> endpoints{0};
+    std::atomic<int> table_failures{2};
+    std::atomic<int> list_failures{2};
+    const auto fail = [](std::atomic<int>& left) {
+        if (left-- > 0) {
+            throw std::runtime_error("the handler failed");
+        }
+    };
+    adapter::catalog_follower follower{loop,
+                                       store.address(),
+                                       {.on_table =
+                                            [&](const auto& table) {
+                                                fail(table_failures);
+                                                version = table->version;
+                                            },
+                                        .on_endpoints =
+                                            [&](const auto& list) {
+                                                fail(list_failures);
+                                                endpoints = list.entries.size();
+                                            }}};
+    follower.start();
+    std::thread thread{[&] { loop.run(); }};
+    BOOST_TEST(running_follower::eventually([&] { return version == 3 && endpoints == 1; }));
+    store.put("op/config", configuration(9));
+    store.put("servers/i-2", entry());
+    BOOST_TEST(running_follower::eventually([&] { return version == 9 && endpoints == 2; }));
+    boost::asio::post(loop.context(), [&] { loop.stop(); });
+    thread.join();
+    BOOST_TEST(loop.handler_failures() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
