--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -42,6 +42,7 @@
 #include "hibiscusfall/dispatch/repeat_budget.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 #include "hibiscusfall/encoding/base64.hpp"
+#include "hibiscusfall/encoding/percent.hpp"
 #include "hibiscusfall/membership/leaving_endpoints.hpp"
 #include "hibiscusfall/membership/membership.hpp"
 #include "hibiscusfall/node/control_loop.hpp"
