--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -1,6 +1,7 @@
 #include "platform_store.hpp"
 
 #include "hibiscusfall/encoding/base64.hpp"
+#include "hibiscusfall/encoding/percent.hpp"
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,7 +29,8 @@
         return {};
     }
     const auto begin = at + name.size() + 1;
-    return target.substr(begin, target.find('&', begin) - begin);
+    const auto decoded = encoding::from_percent(target.substr(begin, target.find('&', begin) - begin));
+    return decoded.value_or("");
 }
 
 } // namespace
