--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -532,4 +532,22 @@
     BOOST_TEST(loop.handler_failures() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(keys_with_any_characters_do_not_hide_the_entries_behind_them)
+{
+    for (const std::string odd :
+         {"a b", "a&after=zz", "a%41", "a%", "a#b", "a+b", "a?b", "a\r\nX: y\r\n\r\nb", "\"", "\x7f"}) {
+        BOOST_TEST_CONTEXT(odd)
+        {
+            platform_store store;
+            store.set_page_size(1);
+            store.put("servers/" + odd, "odd");
+            store.put("servers/" + odd + "-2", "odd");
+            store.put("servers/~1", entry());
+            running_follower follower{store};
+            BOOST_TEST(
+                follower.eventually([&] { return follower.endpoints().entries.contains("servers/~1"); }, 2s));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
