--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -550,4 +550,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_listing_that_does_not_advance_removes_nothing)
+{
+    platform_store store;
+    store.set_page_size(1);
+    for (const auto* key : {"servers/i-1", "servers/i-2", "servers/i-3"}) {
+        store.put(key, entry());
+    }
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 3; }));
+    store.set_fault(platform_store::fault::repeated_page);
+    store.put("servers/i-1", entry("draining"));
+    store.compact();
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.at("servers/i-1").draining; }));
+    std::this_thread::sleep_for(300ms);
+    BOOST_TEST(follower.endpoints().entries.size() == 3U);
+    store.set_fault(platform_store::fault::none);
+    store.remove("servers/i-1");
+    BOOST_TEST(follower.eventually([&] { return !follower.endpoints().entries.contains("servers/i-1"); }));
+    BOOST_TEST(follower.endpoints().entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -199,7 +199,7 @@
     const auto prefix = query_parameter(target, "path-prefix");
     const auto after = query_parameter(target, "after");
     if (target.starts_with("/api/kv-range")) {
-        return this->handle_range(prefix, after);
+        return this->handle_range(prefix, this->active_fault == fault::repeated_page ? "" : after);
     }
     return this->handle_watch(prefix, std::stoull(after), std::stoi(query_parameter(target, "wait-ms")));
 }
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -39,7 +39,8 @@
         unresponsive, ///< Sends no response until the fault ends.
         unavailable,  ///< Answers with 503.
         disconnect,   ///< Closes the connection without a response.
-        history_gone  ///< Answers every watch with 410, and serves the rest.
+        history_gone, ///< Answers every watch with 410, and serves the rest.
+        repeated_page ///< Returns the first page of a range for each call.
     };
 
     platform_store();
