Break streams, repeat answers and restore the store in the soak

New faults: engines break streams inside the first event, inside a later one or before the end, write an HTTP error in place of an event, send an event twice, or answer resumes with nothing; endpoints send each answer or refusal once more, at once or where the next one is due, and refuse without naming the request; the store is restored from a copy that lacks a configuration; odd entries with deep nesting, numbers and addresses out of range, and a key that has to be encoded. New checks: the body of a stream is its events in order and nothing else, and whole when it ends as whole; a refusal as not run is true for repeatable requests as well; after a restoration the instances still serve the configuration that the store lost. The order of events was checked by their numbers before, with anything between them accepted; the new check includes it.

--- a/tests/soak/fault_driver.cpp
+++ b/tests/soak/fault_driver.cpp
@@ -39,6 +39,15 @@
         this->between(0, static_cast<std::int64_t>(this->fleet.entries.size()) - 1))];
 }
 
+platform_endpoint& fault_driver::any_engine()
+{
+    auto* endpoint = &this->any_endpoint();
+    while (!endpoint->engine) {
+        endpoint = &this->any_endpoint();
+    }
+    return *endpoint;
+}
+
 platform_endpoint& fault_driver::any_endpoint()
 {
     return *this->fleet.endpoints[static_cast<std::size_t>(
@@ -90,7 +99,7 @@
 
 void fault_driver::inject()
 {
-    static constexpr std::array<void (fault_driver::*)(), 12> kinds{&fault_driver::kill_entry,
+    static constexpr std::array<void (fault_driver::*)(), 14> kinds{&fault_driver::kill_entry,
                                                                     &fault_driver::pause_entry,
                                                                     &fault_driver::restart_entry,
                                                                     &fault_driver::hang_up_entry,
@@ -98,6 +107,8 @@
                                                                     &fault_driver::harm_store_link,
                                                                     &fault_driver::trouble_store,
                                                                     &fault_driver::misbehave,
+                                                                    &fault_driver::break_streams,
+                                                                    &fault_driver::restore_store,
                                                                     &fault_driver::drain_endpoint,
                                                                     &fault_driver::change_configuration,
                                                                     &fault_driver::write_unreadable_entry,
@@ -274,14 +285,53 @@
     this->later(length, [this] { this->fleet.store.set_fault(platform_store::fault::none); });
 }
 
+void fault_driver::restore_store()
+{
+    const auto copy = this->fleet.store.snapshot();
+    const auto version = this->fleet.write_configuration();
+    const auto written = now_ms();
+    this->say("configuration " + std::to_string(version) + ", of which the store keeps no copy");
+    constexpr bool in_time = true;
+    const auto restore = [this, copy, version](bool was_calm) {
+        this->fleet.store.restore(copy);
+        this->fleet.store.set_fault(platform_store::fault::none);
+        this->say("the store is restored from a copy without version " + std::to_string(version));
+        for (const auto& endpoint : this->fleet.endpoints) {
+            endpoint->gone_since_ms = 0; // the copy may list it as ready again
+            this->later(
+                this->between(50, 1900),
+                [this, endpoint] { this->fleet.register_endpoint(*endpoint); },
+                in_time);
+        }
+        if (was_calm) {
+            this->later(
+                700, [this, version] { this->probe(version); }, in_time);
+        }
+        this->later(
+            this->between(1000, 2500), [this] { this->change_configuration(); }, in_time);
+    };
+    this->later(
+        configuration_bound_ms + this->between(200, 1500),
+        [this, written, restore] {
+            const bool was_calm = this->fleet.store_calm_since(written - contact_ms);
+            this->fleet.note_store_trouble(now_ms() + 1000 + contact_ms);
+            this->fleet.store.set_fault(platform_store::fault::unavailable);
+            this->later(
+                this->between(50, 800), [restore, was_calm] { restore(was_calm); }, in_time);
+        },
+        in_time);
+}
+
 void fault_driver::misbehave()
 {
     auto& endpoint = this->any_endpoint();
-    const std::array<std::atomic<bool>*, 5> faults{&endpoint.faults.lose_answers,
+    const std::array<std::atomic<bool>*, 7> faults{&endpoint.faults.lose_answers,
                                                    &endpoint.faults.fail,
                                                    &endpoint.faults.garble,
                                                    &endpoint.faults.refuse,
-                                                   &endpoint.faults.break_streams};
+                                                   &endpoint.faults.refuse_unnamed,
+                                                   &endpoint.faults.repeat_late,
+                                                   &endpoint.faults.repeat_now};
     auto* fault = faults[static_cast<std::size_t>(this->between(0, faults.size() - 1))];
     const auto length = this->between(200, 3000);
     this->say(endpoint.id + " misbehaves for " + std::to_string(length) + " ms");
@@ -289,6 +339,23 @@
     this->later(length, [fault] { *fault = false; });
 }
 
+void fault_driver::break_streams()
+{
+    static constexpr std::array<stream_fault, 6> kinds{stream_fault::inside_first_event,
+                                                       stream_fault::inside_event,
+                                                       stream_fault::after_last_event,
+                                                       stream_fault::error_in_body,
+                                                       stream_fault::event_twice,
+                                                       stream_fault::empty_resume};
+    auto& endpoint = this->any_engine();
+    const auto kind = static_cast<std::size_t>(this->between(0, kinds.size() - 1));
+    const auto length = this->between(200, 3000);
+    this->say(endpoint.id + " breaks streams, kind " + std::to_string(kind) + ", for " +
+              std::to_string(length) + " ms");
+    endpoint.faults.streams = kinds[kind];
+    this->later(length, [&endpoint] { endpoint.faults.streams = stream_fault::none; });
+}
+
 void fault_driver::drain_endpoint()
 {
     auto& endpoint = this->any_endpoint();
@@ -360,10 +427,18 @@
 
 void fault_driver::write_unreadable_entry()
 {
-    this->say("an entry that cannot be read");
-    this->fleet.store.put("servers/odd-" + std::to_string(this->between(0, 3)),
-                          this->between(0, 1) == 0 ? "{\"service\":7,\"state\":\"ready\"}"
-                                                   : "\xff\xfe not JSON");
+    static const std::string fields = R"("service":"draft","state":"ready","zone":"north","born":)";
+    static const std::array<std::string, 7> values{
+        R"({"service":7,"state":"ready"})",
+        "\xff\xfe not JSON",
+        std::string(2000, '['),
+        "{" + fields + R"(1,"slots":1e300,"address":"127.0.0.1:1"})",
+        "{" + fields + R"(1,"slots":4,"address":"nowhere:80"})",
+        "{" + fields + R"(1,"slots":4,"address":"127.0.0.1:70000"})",
+        "{" + fields + R"(18446744073709551615,"slots":-4,"address":"127.0.0.1:1"})"};
+    const auto kind = static_cast<std::size_t>(this->between(0, values.size() - 1));
+    this->say("an entry that cannot be read, kind " + std::to_string(kind));
+    this->fleet.store.put("servers/odd &%-" + std::to_string(this->between(0, 3)), values[kind]);
 }
 
 } // namespace hibiscusfall::soak
--- a/tests/soak/fault_driver.hpp
+++ b/tests/soak/fault_driver.hpp
@@ -44,13 +44,16 @@
     void harm_endpoint_link();
     void harm_store_link();
     void trouble_store();
+    void restore_store();
     void misbehave();
+    void break_streams();
     void drain_endpoint();
     void change_configuration();
     void write_unreadable_entry();
 
     soak_entry& any_entry();
     platform_endpoint& any_endpoint();
+    platform_endpoint& any_engine();
     void stop_and_restart(soak_entry& entry, int signal, std::int64_t down_ms);
     void check_exit(soak_entry& entry, bool graceful);
     void probe(int version);
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -5,6 +5,11 @@
 namespace hibiscusfall::soak
 {
 
+std::string event_text(std::uint64_t number, const std::string& request)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
+}
+
 void ledger::note_sent(const std::string& id, request_kind kind, std::string team, std::string entry)
 {
     const std::lock_guard lock(this->mutex);
@@ -63,18 +68,10 @@
         seen.body != "ran " + id) {
         this->add("mixed", id, "a success with the body \"" + seen.body + "\"");
     }
-    for (std::size_t i = 0; i < seen.events.size(); ++i) {
-        if (seen.events[i] != i) {
-            this->add(
-                "order", id, "event " + std::to_string(seen.events[i]) + " in place " + std::to_string(i));
-            break;
-        }
-    }
-    if (record.kind == request_kind::stream && seen.status == 200 && seen.whole && !seen.last_event) {
-        this->add("order", id, "a stream that lacks its end was ended as complete");
+    if (record.kind == request_kind::stream && seen.status == 200) {
+        this->check_stream(id, seen);
     }
-    if ((seen.status == 503 || seen.status == 429) && !record.endpoints.empty() &&
-        record.kind == request_kind::non_idempotent) {
+    if ((seen.status == 503 || seen.status == 429) && !record.endpoints.empty()) {
         this->add("refused", id, "told not to have run, but ran at " + record.endpoints.front());
     }
     if (seen.status == 401 || seen.status == 404 || seen.status == 400) {
@@ -85,6 +82,25 @@
     }
 }
 
+/// A stream's body is its events in order and nothing else; it may break off only after a whole event.
+void ledger::check_stream(const std::string& id, const caller_view& seen)
+{
+    std::string_view rest = seen.body;
+    std::uint64_t event = 0;
+    while (event < stream_events && rest.starts_with(event_text(event, id))) {
+        rest.remove_prefix(event_text(event, id).size());
+        ++event;
+    }
+    if (!rest.empty()) {
+        this->add("order",
+                  id,
+                  "in place of event " + std::to_string(event) + ": \"" + std::string{rest.substr(0, 200)} +
+                      "\"");
+    } else if (seen.whole && event < stream_events) {
+        this->add("order", id, "ended as complete after " + std::to_string(event) + " events");
+    }
+}
+
 void ledger::add(std::string rule, const std::string& id, std::string detail)
 {
     this->found.push_back({.rule = std::move(rule), .request = id, .detail = std::move(detail)});
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -17,6 +17,12 @@
 /// @brief What kind of request a caller sent.
 enum class request_kind : std::uint8_t { non_idempotent, idempotent, stream };
 
+/// @brief Events of each stream.
+inline constexpr std::uint64_t stream_events = 12;
+
+/// @brief The bytes of an event of a request's stream.
+[[nodiscard]] std::string event_text(std::uint64_t number, const std::string& request);
+
 /// @brief How a caller saw its request end.
 struct caller_view {
     bool any_byte = false; ///< Whether any byte of an answer came.
@@ -25,8 +31,6 @@
     bool is_signed = false;
     std::string request_id; ///< As the answer names it; empty when it does not.
     std::string body;
-    std::vector<std::uint64_t> events;
-    bool last_event = false; ///< Whether the stream's last event came.
 };
 
 /// @brief One request, from what its caller and the endpoints saw.
@@ -72,6 +76,7 @@
 
 private:
     void check_answer(const std::string& id, const request_record& record, bool excused);
+    void check_stream(const std::string& id, const caller_view& seen);
     void add(std::string rule, const std::string& id, std::string detail);
 
     mutable std::mutex mutex;
--- a/tests/soak/platform_endpoint.cpp
+++ b/tests/soak/platform_endpoint.cpp
@@ -4,8 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <functional>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 namespace hibiscusfall::soak
 {
@@ -19,7 +21,6 @@
 using standins::header_of;
 using standins::http_request;
 
-constexpr std::uint64_t stream_events = 12;
 constexpr auto event_interval = 15ms;
 /// The platform's bound after which a leaving endpoint gets nothing, and what threads of this program add.
 constexpr std::int64_t drain_bound_ms = 2000 + 700;
@@ -31,10 +32,32 @@
             {"Keep-Alive", "timeout=5"}};
 }
 
-bool refuse(connection& client, int status, const std::string& id)
+/// Sends the connection's last answer again. Each connection has a thread of its own.
+thread_local std::function<bool(connection&)> send_again;
+
+bool answer(connection& client, const platform_endpoint& self, std::function<bool(connection&)> send)
+{
+    if (!send(client) || (self.faults.repeat_now && !send(client))) {
+        return false;
+    }
+    send_again = std::move(send);
+    return true;
+}
+
+bool refuse(connection& client, const platform_endpoint& self, int status, const std::string& id)
+{
+    standins::header_list headers{{std::string{wire::not_run}, "1"}};
+    if (!id.empty()) {
+        headers.emplace_back(wire::request_id, id);
+    }
+    return answer(
+        client, self, [status, headers](connection& to) { return to.reply(status, "{}", headers); });
+}
+
+bool end_connection(connection& client)
 {
-    return client.reply(
-        status, "{}", {{std::string{wire::request_id}, id}, {std::string{wire::not_run}, "1"}});
+    client.close();
+    return false;
 }
 
 bool stream(connection& client, const http_request& request, platform_endpoint& self, const std::string& id)
@@ -42,33 +65,47 @@
     if (!client.begin_chunks("text/event-stream", answer_headers(id, self))) {
         return false;
     }
+    const auto fault = self.faults.streams.load();
     const auto resumed = header_of(request, wire::last_event_id);
     const auto first = resumed.empty() ? 0 : std::stoull(resumed) + 1;
+    if (fault == stream_fault::empty_resume && !resumed.empty()) {
+        return client.end_chunks();
+    }
     for (auto event = first; event < stream_events; ++event) {
         std::this_thread::sleep_for(event_interval);
-        const auto text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
-        if (self.faults.break_streams && event > first + 3) {
+        const auto text = event_text(event, id);
+        const bool is_later = event > first + 3;
+        if ((fault == stream_fault::inside_first_event && event == first) ||
+            ((fault == stream_fault::inside_event || fault == stream_fault::empty_resume) && is_later)) {
             client.write_chunk(text.substr(0, text.size() / 2));
-            client.close();
-            return false;
+            return end_connection(client);
         }
-        if (!client.write_chunk(text)) {
+        if (fault == stream_fault::error_in_body && is_later) {
+            return client.write_chunk(
+                       "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}\n\n") &&
+                   client.end_chunks();
+        }
+        if (!client.write_chunk(text) ||
+            (fault == stream_fault::event_twice && is_later && !client.write_chunk(text))) {
             return false;
         }
     }
-    return client.end_chunks();
+    return fault == stream_fault::after_last_event ? end_connection(client) : client.end_chunks();
 }
 
 bool run(connection& client, const http_request& request, platform_endpoint& self, ledger& records)
 {
+    if (self.faults.repeat_late && send_again && !send_again(client)) {
+        return false;
+    }
     const auto id = header_of(request, wire::request_id);
     if (id.empty()) {
-        return refuse(client, 400, id);
+        return refuse(client, self, 400, id);
     }
     const auto expected = header_of(request, wire::expected_endpoint);
     if (!expected.empty() && expected != self.id) {
         constexpr int misdirected = 421;
-        return refuse(client, misdirected, id);
+        return refuse(client, self, misdirected, id);
     }
     const auto gone = self.gone_since_ms.load();
     if (gone > 0 && now_ms() - gone > drain_bound_ms) {
@@ -78,7 +115,10 @@
              .detail = "reached " + self.id + " " + std::to_string(now_ms() - gone) + " ms after it left"});
     }
     if (self.faults.refuse) {
-        return refuse(client, 503, id);
+        return refuse(client, self, 503, id);
+    }
+    if (self.faults.refuse_unnamed) {
+        return refuse(client, self, 503, {}) && send_again(client);
     }
     records.note_run(id, self.id, header_of(request, wire::team));
     if (self.engine) {
@@ -97,7 +137,9 @@
     if (self.faults.fail) {
         return client.reply(500, "{}", answer_headers(id, self));
     }
-    return client.reply(200, "ran " + id, answer_headers(id, self));
+    return answer(client, self, [id, headers = answer_headers(id, self)](connection& to) {
+        return to.reply(200, "ran " + id, headers);
+    });
 }
 
 } // namespace
--- a/tests/soak/platform_endpoint.hpp
+++ b/tests/soak/platform_endpoint.hpp
@@ -12,13 +12,27 @@
 namespace hibiscusfall::soak
 {
 
+/// @brief How an engine breaks its streams.
+enum class stream_fault : std::uint8_t {
+    none,
+    inside_first_event, ///< Ends the connection inside the first event.
+    inside_event,       ///< Ends the connection inside a later event.
+    after_last_event,   ///< Ends the connection before the end of the response.
+    error_in_body,      ///< Writes an HTTP error in place of an event, and ends the response properly.
+    event_twice,        ///< Sends an event once more.
+    empty_resume        ///< Ends the connection inside an event, and answers resumes with no event at all.
+};
+
 /// @brief How an endpoint misbehaves for now.
 struct endpoint_faults {
-    std::atomic<bool> lose_answers{false}; ///< Closes the connection instead of answering what it ran.
-    std::atomic<bool> fail{false};         ///< Answers 500.
-    std::atomic<bool> garble{false};       ///< Sends bytes that are no answer.
-    std::atomic<bool> refuse{false};       ///< Says that it did not run the request.
-    std::atomic<bool> break_streams{false};
+    std::atomic<bool> lose_answers{false};   ///< Closes the connection instead of answering what it ran.
+    std::atomic<bool> fail{false};           ///< Answers 500.
+    std::atomic<bool> garble{false};         ///< Sends bytes that are no answer.
+    std::atomic<bool> refuse{false};         ///< Says that it did not run the request.
+    std::atomic<bool> refuse_unnamed{false}; ///< Refuses without naming the request, each time twice.
+    std::atomic<bool> repeat_late{false};    ///< Sends each answer once more where the next one is due.
+    std::atomic<bool> repeat_now{false};     ///< Sends each answer once more at once.
+    std::atomic<stream_fault> streams{stream_fault::none};
 };
 
 /// @brief A stand-in endpoint that speaks the platform's headers and tells the ledger what it runs.
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -37,22 +37,6 @@
     return result;
 }
 
-/// Reads the events of a stream's body.
-void read_events(caller_view& view)
-{
-    constexpr std::uint64_t last = 11; // the endpoint stand-in sends twelve
-    std::size_t at = 0;
-    while ((at = view.body.find("id: ", at)) != std::string::npos) {
-        const auto end = view.body.find("\n\n", at);
-        if (end == std::string::npos) {
-            return;
-        }
-        view.events.push_back(std::strtoull(view.body.c_str() + at + 4, nullptr, 10));
-        at = end;
-    }
-    view.last_event = !view.events.empty() && view.events.back() == last;
-}
-
 } // namespace
 
 kept_connection::~kept_connection()
@@ -203,7 +187,6 @@
             view.whole = this->take_bytes(view.body, this->length, until);
         }
     }
-    read_events(view);
     if (!view.whole || !this->keeps) {
         this->close();
     }
