Excuse a leaving endpoint in the soak only once it has registered again

The soak's restoration of the store cleared the time at which an endpoint had left at once, as the copy may list it as ready.

--- a/tests/soak/fault_driver.cpp
+++ b/tests/soak/fault_driver.cpp
@@ -297,10 +297,12 @@
         this->fleet.store.set_fault(platform_store::fault::none);
         this->say("the store is restored from a copy without version " + std::to_string(version));
         for (const auto& endpoint : this->fleet.endpoints) {
-            endpoint->gone_since_ms = 0; // the copy may list it as ready again
             this->later(
                 this->between(50, 1900),
-                [this, endpoint] { this->fleet.register_endpoint(*endpoint); },
+                [this, endpoint] {
+                    endpoint->gone_since_ms = 0;
+                    this->fleet.register_endpoint(*endpoint);
+                },
                 in_time);
         }
         if (was_calm) {
