Do not deny what a change lost with a restoration may allow

Seen, by reading and by the tests below: after a restoration of the store a change that it had acknowledged may be known to no instance, and its paths and keys were answered 404 and 401. A store that served an older version confirmed the newer one in force, so this did not end. Cause: only the age of the configuration decided, and any successful reading made it new. A peer with the same version confirms it also if its list of endpoints differs, as lists may do during the settling time; position and age are confirmed by two callbacks of the exchange.

--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -38,9 +38,10 @@
         configuration_age;                        ///< Time since the store last confirmed the configuration.
     std::function<bool()> store_failing;          ///< Whether the last store call failed.
     std::function<void(bool)> enable_store_reads; ///< Receives whether this instance should read the store.
-    /// Called when a peer reports the same configuration and endpoints. Receives the position up to which the
-    /// endpoints are the same, and the time since the peer's configuration was confirmed.
-    std::function<void(catalog::store_position position, core::duration age)> confirm;
+    /// Called when a peer reports the same configuration. Receives the time since the peer's was confirmed.
+    std::function<void(core::duration age)> confirm_configuration;
+    /// Called when a peer reports the same endpoints. Receives the position up to which they are the same.
+    std::function<void(catalog::store_position position)> confirm_endpoints;
 };
 
 /// @brief Counters of the exchange.
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -252,9 +252,11 @@
     known.store_failing = report.store_failing;
     known.leaving = report.leaving;
     known.cpu_cores = report.cpu_cores;
-    if (report.table_version == this->catalog.table_version() &&
-        report.list_digest == this->catalog.list_digest()) {
-        this->catalog.confirm(known.list_position, known.configuration_age);
+    if (report.table_version == this->catalog.table_version()) {
+        this->catalog.confirm_configuration(known.configuration_age);
+    }
+    if (report.list_digest == this->catalog.list_digest()) {
+        this->catalog.confirm_endpoints(known.list_position);
     }
     for (const auto& address : report.member_addresses) {
         if (const auto parsed = core::parse_address(address)) {
--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -444,7 +444,7 @@
     BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
     const auto confirmed = [&](catalog::store_position position) {
         return follower.on_loop([&](auto& each) {
-            each.confirm(position, 0ms, relay::event_loop::now());
+            each.confirm_endpoints(position, relay::event_loop::now());
             return each.list_position();
         });
     };
@@ -571,4 +571,45 @@
     BOOST_TEST(follower.endpoints().entries.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(a_store_that_serves_an_older_version_does_not_confirm_the_one_in_force)
+{
+    platform_store store;
+    store.put("op/config", configuration(5));
+    const auto copy = store.snapshot();
+    store.put("op/config", configuration(9));
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 9; }));
+    const auto age = [&] {
+        return follower.on_loop([](auto& each) { return each.table_age(relay::event_loop::now()); });
+    };
+    store.restore(copy);
+    std::this_thread::sleep_for(2s); // over two watches
+    BOOST_TEST((age() > 1500ms));
+    store.put("op/config", configuration(9));
+    BOOST_TEST(follower.eventually([&] { return age() < 1s; }));
+    store.restore({.items = {}, .revision = 2});
+    std::this_thread::sleep_for(2s);
+    BOOST_TEST((age() > 1500ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_peer_with_the_same_version_confirms_it_although_its_endpoints_differ)
+{
+    platform_store store;
+    store.put("op/config", configuration(5));
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 5; }));
+    store.set_fault(platform_store::fault::unavailable);
+    std::this_thread::sleep_for(1500ms);
+    const auto age = [&] {
+        return follower.on_loop([](auto& each) { return each.table_age(relay::event_loop::now()); });
+    };
+    BOOST_TEST((age() > 500ms));
+    follower.on_loop([](auto& each) {
+        each.confirm_configuration(100ms, relay::event_loop::now());
+        return 0;
+    });
+    BOOST_TEST((age() < 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/adapter/entry_process_test.cpp
+++ b/tests/adapter/entry_process_test.cpp
@@ -78,20 +78,10 @@
             << extra_settings;
     }
 
-    [[nodiscard]] bool ready() const
-    {
-        asio::io_context io;
-        tcp::socket socket{io};
-        boost::system::error_code error;
-        socket.connect({asio::ip::address_v4::loopback(), this->readiness}, error);
-        if (error) {
-            return false;
-        }
-        asio::write(socket, asio::buffer(std::string_view{"GET / HTTP/1.1\r\nHost: e\r\n\r\n"}), error);
-        std::string answer(12, '\0');
-        asio::read(socket, asio::buffer(answer), error);
-        return answer == "HTTP/1.1 200";
-    }
+    [[nodiscard]] bool ready() const { return status(this->readiness) == "200"; }
+
+    /// @brief Status of the answer to a caller's request for a path that no configuration has.
+    [[nodiscard]] std::string unknown_path_status() const { return status(this->callers); }
 
     [[nodiscard]] bool logged(std::string_view text) const
     {
@@ -103,6 +93,24 @@
     testbed::child_process& child() { return *this->process; }
 
 private:
+    /// Status of the answer to a GET request; empty without an answer.
+    static std::string status(std::uint16_t port)
+    {
+        asio::io_context io;
+        tcp::socket socket{io};
+        boost::system::error_code error;
+        socket.connect({asio::ip::address_v4::loopback(), port}, error);
+        if (error) {
+            return {};
+        }
+        constexpr std::string_view request =
+            "GET / HTTP/1.1\r\nHost: e\r\nX-Hibiscusfall-Request-Id: 9c41d07be2a35f68\r\n\r\n";
+        asio::write(socket, asio::buffer(request), error);
+        std::string answer(12, '\0');
+        asio::read(socket, asio::buffer(answer), error);
+        return answer.starts_with("HTTP/1.1 ") ? answer.substr(9) : std::string{};
+    }
+
     std::filesystem::path folder;
     std::uint16_t readiness;
     std::uint16_t callers = free_port();
@@ -134,6 +142,18 @@
     BOOST_TEST(*code == 0);
 }
 
+BOOST_AUTO_TEST_CASE(an_unknown_path_is_not_denied_until_a_restored_store_has_settled)
+{
+    platform_store store;
+    store.put("op/config", empty_configuration);
+    entry_process entry{store.address()};
+    BOOST_TEST(eventually([&] { return entry.ready(); }, 5s));
+    BOOST_TEST(eventually([&] { return entry.unknown_path_status() == "404"; }, 3s));
+    store.restore(store.snapshot());
+    BOOST_TEST(eventually([&] { return entry.unknown_path_status() == "503"; }, 3s));
+    BOOST_TEST(eventually([&] { return entry.unknown_path_status() == "404"; }, 12s));
+}
+
 BOOST_AUTO_TEST_CASE(a_hangup_or_a_changed_file_reloads_the_settings)
 {
     platform_store store;
