Ignore reports and member addresses that are no IPv4 address

One datagram whose report names "nowhere:7400" as its address ended this instance's reports to all others for good, and could end receiving and the fetching of copies in silence. Cause: such an address became a member. Sending to it throws in make_address_v4(): in the timer of the reports, which then is not set again, or in a coroutine started with asio::detached. Change: an address that cannot be sent to is no member. The coroutines of the exchange run under keep_running() or log_failure(), so that another exception there is logged and receiving starts again.

--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -7,7 +7,6 @@
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -87,7 +86,9 @@
     const auto* source_address = addresses[source];
     this->behind_since = core::instant::max();
     this->fetching = true;
-    asio::co_spawn(this->entry.loop.context(), this->fetch_copy(*source_address), asio::detached);
+    asio::co_spawn(this->entry.loop.context(),
+                   this->fetch_copy(*source_address),
+                   this->entry.loop.log_failure("fetch_copy"));
 }
 
 asio::awaitable<void> peer_exchange::serve_copies()
@@ -103,7 +104,9 @@
             co_await this->entry.loop.sleep(min_report_interval);
             continue;
         }
-        asio::co_spawn(this->entry.loop.context(), this->serve_copy(std::move(accepted)), asio::detached);
+        asio::co_spawn(this->entry.loop.context(),
+                       this->serve_copy(std::move(accepted)),
+                       this->entry.loop.log_failure("serve_copy"));
     }
 }
 
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -6,13 +6,12 @@
 #include "hibiscusfall/peers/store_readers.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace hibiscusfall::peers
@@ -42,6 +41,21 @@
 /// Interval of probes: report headers sent to members from which no report came yet, or none recently.
 constexpr core::duration probe_interval = milliseconds{1000};
 
+/// @returns Nothing for a text that is not an IPv4 address with a port: nothing can be sent there.
+std::optional<core::address> parse_member_address(std::string_view text)
+{
+    auto parsed = core::parse_address(text);
+    error_code error;
+    if (parsed) {
+        const auto ip = asio::ip::make_address_v4(parsed->host, error);
+        // The text is read up to a zero byte, hence the comparison.
+        if (error || ip.to_string() != parsed->host) {
+            return std::nullopt;
+        }
+    }
+    return parsed;
+}
+
 udp::endpoint to_udp_endpoint(const core::address& address)
 {
     return {asio::ip::make_address_v4(address.host), address.port};
@@ -79,8 +93,8 @@
     this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address{true});
     this->acceptor.bind({bind_endpoint.address(), bind_endpoint.port()});
     this->acceptor.listen();
-    asio::co_spawn(this->entry.loop.context(), this->receive(), asio::detached);
-    asio::co_spawn(this->entry.loop.context(), this->serve_copies(), asio::detached);
+    this->entry.loop.keep_running("receive_reports", [this] { return this->receive(); });
+    this->entry.loop.keep_running("serve_copies", [this] { return this->serve_copies(); });
     this->schedule_tick();
     this->started_at = relay::event_loop::now();
     this->request_members(this->started_at);
@@ -231,7 +245,7 @@
 
 void peer_exchange::handle_report(const load_report& report, core::instant now)
 {
-    const auto from = core::parse_address(report.address);
+    const auto from = parse_member_address(report.address);
     if (!from || report.instance == this->entry.options.instance.view()) {
         return;
     }
@@ -259,7 +273,7 @@
         this->catalog.confirm_endpoints(known.list_position);
     }
     for (const auto& address : report.member_addresses) {
-        if (const auto parsed = core::parse_address(address)) {
+        if (const auto parsed = parse_member_address(address)) {
             this->add_member(*parsed);
         }
     }
--- /dev/null
+++ b/tests/peers/odd_peer_test.cpp
@@ -0,0 +1,106 @@
+#include "hibiscusfall/peers/peer_exchange.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+using namespace hibiscusfall;
+using namespace std::chrono_literals;
+using relay::asio::ip::tcp;
+using relay::asio::ip::udp;
+
+namespace
+{
+
+relay::relay_options options()
+{
+    relay::relay_options result;
+    result.instance = core::instance_id{"here"};
+    result.domain = core::failure_domain_id{"north"};
+    return result;
+}
+
+/// A port that is free for datagrams and for connections.
+std::uint16_t free_port(relay::asio::io_context& io)
+{
+    const auto loopback = relay::asio::ip::address_v4::loopback();
+    while (true) {
+        const tcp::acceptor connections{io, tcp::endpoint{loopback, 0}};
+        const auto port = connections.local_endpoint().port();
+        udp::socket datagrams{io, udp::v4()};
+        boost::system::error_code error;
+        datagrams.bind({loopback, port}, error);
+        if (!error) {
+            return port;
+        }
+    }
+}
+
+peers::load_report report(const std::string& instance, const std::string& address, std::uint64_t sequence)
+{
+    return {.instance = instance,
+            .incarnation = 1,
+            .sequence = sequence,
+            .domain = "north",
+            .address = address,
+            .table_version = 9,
+            .member_addresses = {address}};
+}
+
+peers::exchange_callbacks callbacks()
+{
+    return {.copy_catalog = [](const peers::catalog_request&) { return peers::catalog_copy{}; },
+            .apply_copy = [](const peers::catalog_copy&) {},
+            .table_version = [] { return std::uint64_t{1}; },
+            .list_revision = [] { return std::uint64_t{1}; },
+            .list_digest = [] { return std::uint64_t{1}; },
+            .configuration_age = [](core::instant) { return core::duration{}; },
+            .store_failing = [] { return true; },
+            .enable_store_reads = [](bool) {},
+            .confirm = [](std::uint64_t, core::duration) {}};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(odd_peer_test)
+
+BOOST_AUTO_TEST_CASE(a_report_whose_address_is_no_ip_address_does_not_end_the_reports_to_others)
+{
+    relay::asio::io_context io;
+    const core::address listen{.host = "127.0.0.1", .port = free_port(io)};
+    relay::event_loop loop;
+    const relay::dialect no_dialect{};
+    relay::relay_server server{loop, no_dialect, options()};
+    peers::peer_exchange exchange{server, {.listen_address = listen, .seeds = {}}, callbacks()};
+    exchange.start();
+    std::thread thread{[&] { loop.run(); }};
+    udp::socket other{io, udp::endpoint{relay::asio::ip::address_v4::loopback(), 0}};
+    const udp::endpoint here{relay::asio::ip::address_v4::loopback(), listen.port};
+    const auto own_address = "127.0.0.1:" + std::to_string(other.local_endpoint().port());
+    const auto tell = [&](const peers::load_report& told) {
+        const auto bytes = "D" + peers::encode(told);
+        other.send_to(relay::asio::buffer(bytes), here);
+    };
+    int received = 0;
+    std::array<char, 65536> datagram{};
+    other.non_blocking(true);
+    for (std::uint64_t sequence = 1; sequence <= 40; ++sequence) {
+        tell(report("odd", "nowhere:7400", sequence));
+        tell(report("good", own_address, sequence));
+        std::this_thread::sleep_for(50ms);
+        boost::system::error_code error;
+        while (other.receive(relay::asio::buffer(datagram), 0, error) > 0 && !error) {
+            received += sequence > 20 ? 1 : 0;
+        }
+    }
+    boost::asio::post(loop.context(), [&] { loop.stop(); });
+    thread.join();
+    BOOST_TEST(loop.handler_failures() == 0U);
+    BOOST_TEST(received > 0);
+    BOOST_TEST(exchange.counts().received_datagrams > 40U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
