--- a/tests/peers/odd_peer_test.cpp
+++ b/tests/peers/odd_peer_test.cpp
@@ -55,12 +55,13 @@
     return {.copy_catalog = [](const peers::catalog_request&) { return peers::catalog_copy{}; },
             .apply_copy = [](const peers::catalog_copy&) {},
             .table_version = [] { return std::uint64_t{1}; },
-            .list_revision = [] { return std::uint64_t{1}; },
+            .list_position = [] { return catalog::store_position{.era = 1, .revision = 1}; },
             .list_digest = [] { return std::uint64_t{1}; },
             .configuration_age = [](core::instant) { return core::duration{}; },
             .store_failing = [] { return true; },
             .enable_store_reads = [](bool) {},
-            .confirm = [](std::uint64_t, core::duration) {}};
+            .confirm_configuration = [](core::duration) {},
+            .confirm_endpoints = [](catalog::store_position) {}};
 }
 
 } // namespace
