Pause after a copy of a peer's catalog that brought nothing new

What would be seen: a peer that states a newer configuration and cannot give it (its port is closed, the copy is larger than allowed, or this instance cannot read the configuration, as between versions that check it differently) was asked again at each tick, each 8 or 25 ms, for as long as it lasted. Cause: the class of the watches that were refused without a pause: nothing but success ended the state that asked. Change: the next copy is fetched 0.5 s after the last one, unless that brought a later version or position.

--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -147,7 +147,8 @@
     core::address own_hub{};    ///< Not set while this instance is the hub or its domain needs none.
     std::array<char, 65536> datagram{};
     bool fetching = false;
-    bool is_hub = false; ///< Whether this instance is the hub of its domain.
+    core::instant next_fetch{}; ///< No copy is fetched before this, after one that brought nothing new.
+    bool is_hub = false;        ///< Whether this instance is the hub of its domain.
     core::instant behind_since = core::instant::max();
     bool reading_store = true;
     exchange_counters counters;
--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -32,6 +32,8 @@
 /// Time within which an instance that reads the store receives a new version from the store itself.
 constexpr core::duration store_read_wait = milliseconds{250};
 constexpr core::duration copy_timeout = milliseconds{1500};
+/// Pause after a copy that could not be fetched or brought nothing new.
+constexpr core::duration fetch_pause = milliseconds{500};
 /// Report intervals that the hub of the own domain takes to fetch a change and report it.
 constexpr int hub_fetch_intervals = 3;
 constexpr std::uint64_t max_copy_bytes = 32U << 20U;
@@ -48,7 +50,7 @@
 
 void peer_exchange::update_catalog(core::instant now)
 {
-    if (this->fetching) {
+    if (this->fetching || now < this->next_fetch) {
         return;
     }
     const auto version = this->catalog.table_version();
@@ -86,6 +88,7 @@
     const auto* source_address = addresses[source];
     this->behind_since = core::instant::max();
     this->fetching = true;
+    this->next_fetch = now + fetch_pause;
     asio::co_spawn(this->entry.loop.context(),
                    this->fetch_copy(*source_address),
                    this->entry.loop.log_failure("fetch_copy"));
@@ -179,7 +182,12 @@
                              .with("version", copy.table_version)
                              .with("era", copy.list_era)
                              .with("revision", copy.list_revision));
+        const auto position = this->catalog.list_position();
         this->catalog.apply_copy(copy);
+        if (this->catalog.table_version() > request.table_version ||
+            this->catalog.list_position() > position) {
+            this->next_fetch = {};
+        }
     } catch (const msgpack::unpack_error& exception) {
         telemetry::write_error(line.with("outcome", "unreadable").with("reason", exception.what()));
     } catch (const msgpack::type_error& exception) {
--- a/tests/peers/odd_peer_test.cpp
+++ b/tests/peers/odd_peer_test.cpp
@@ -104,4 +104,35 @@
     BOOST_TEST(exchange.counts().received_datagrams > 40U);
 }
 
+BOOST_AUTO_TEST_CASE(a_newer_catalog_that_cannot_be_fetched_is_not_asked_for_without_a_pause)
+{
+    relay::asio::io_context io;
+    const core::address listen{.host = "127.0.0.1", .port = free_port(io)};
+    relay::event_loop loop;
+    const relay::dialect no_dialect{};
+    relay::relay_server server{loop, no_dialect, options()};
+    peers::peer_exchange exchange{server, {.listen_address = listen, .seeds = {}}, callbacks()};
+    exchange.start();
+    std::thread thread{[&] { loop.run(); }};
+    const auto loopback = relay::asio::ip::address_v4::loopback();
+    const auto port = free_port(io);
+    udp::socket other{io, udp::endpoint{loopback, port}};
+    tcp::acceptor copies{io, tcp::endpoint{loopback, port}};
+    copies.non_blocking(true);
+    int fetches = 0;
+    for (std::uint64_t sequence = 1; sequence <= 200; ++sequence) {
+        const auto bytes = "D" + peers::encode(report("good", "127.0.0.1:" + std::to_string(port), sequence));
+        other.send_to(relay::asio::buffer(bytes), udp::endpoint{loopback, listen.port});
+        std::this_thread::sleep_for(10ms);
+        boost::system::error_code error;
+        tcp::socket accepted{io};
+        copies.accept(accepted, error);
+        fetches += error ? 0 : 1;
+    }
+    boost::asio::post(loop.context(), [&] { loop.stop(); });
+    thread.join();
+    BOOST_TEST(fetches > 0);
+    BOOST_TEST(fetches < 10); // in 2 s or more, one each 0.5 s
+}
+
 BOOST_AUTO_TEST_SUITE_END()
