--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -612,4 +612,21 @@
     BOOST_TEST((age() < 500ms));
 }
 
+BOOST_AUTO_TEST_CASE(changes_that_are_too_large_for_one_response_do_not_end_following)
+{
+    platform_store store;
+    store.set_page_size(1);
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
+    const std::string large(3U << 20U, 'x');
+    for (const auto* key : {"servers/a", "servers/b", "servers/c", "servers/d"}) {
+        store.put(key, large);
+    }
+    store.put("servers/i-2", entry());
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-2"); }));
+    store.put("servers/i-3", entry());
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-3"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -22,6 +22,8 @@
 using nlohmann::json;
 using namespace std::chrono_literals;
 
+constexpr std::size_t large_body_bytes = 1U << 20U;
+
 std::string query_parameter(const std::string& target, const std::string& name)
 {
     const auto at = target.find(name + "=");
@@ -190,7 +192,14 @@
         }
         response.body() = sent.body;
         response.prepare_payload();
-        http::write(socket, response, error);
+        http::response_serializer<http::string_body> serializer{response};
+        http::write_header(socket, serializer, error);
+        if (body.size() > large_body_bytes) {
+            std::this_thread::sleep_for(5ms); // the head arrives by itself
+        }
+        if (!error) {
+            http::write(socket, serializer, error);
+        }
     }
 }
 
