--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -629,4 +629,18 @@
     BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-3"); }));
 }
 
+BOOST_AUTO_TEST_CASE(entries_that_name_no_endpoint_are_not_sent_to_peers)
+{
+    platform_store store;
+    store.put("servers/i-1", entry());
+    running_follower reader{store};
+    BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.size() == 1; }));
+    store.put("servers/odd", std::string(1U << 20U, 'x'));
+    const auto revision = [](auto& each) { return each.list_revision(); };
+    const auto before = reader.on_loop(revision);
+    BOOST_TEST(reader.eventually([&] { return reader.on_loop(revision) > before; }));
+    const auto copy = reader.on_loop([](auto& each) { return each.export_catalog(); });
+    BOOST_TEST(copy.entries.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
