--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -636,11 +636,43 @@
     running_follower reader{store};
     BOOST_TEST(reader.eventually([&] { return reader.endpoints().entries.size() == 1; }));
     store.put("servers/odd", std::string(1U << 20U, 'x'));
-    const auto revision = [](auto& each) { return each.list_revision(); };
-    const auto before = reader.on_loop(revision);
-    BOOST_TEST(reader.eventually([&] { return reader.on_loop(revision) > before; }));
+    const auto position = [](auto& each) { return each.list_position(); };
+    const auto before = reader.on_loop(position);
+    BOOST_TEST(reader.eventually([&] { return reader.on_loop(position) > before; }));
     const auto copy = reader.on_loop([](auto& each) { return each.export_catalog(); });
     BOOST_TEST(copy.entries.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_settling_time_begins_when_a_restored_store_serves_again)
+{
+    platform_store store;
+    store.put("op/config", configuration(1));
+    const auto copy = store.snapshot();
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.version == 1; }));
+    store.set_fault(platform_store::fault::unavailable);
+    std::this_thread::sleep_for(1500ms); // longer than a watch in progress may take
+    store.restore(copy);
+    std::this_thread::sleep_for(2500ms);
+    const auto settling = [](auto& each) { return each.settling(relay::event_loop::now()); };
+    BOOST_TEST(!follower.on_loop(settling));
+    store.set_fault(platform_store::fault::none);
+    BOOST_TEST(follower.eventually([&] { return follower.on_loop(settling); }));
+    std::this_thread::sleep_for(catalog::settling_time - 1s);
+    BOOST_TEST(follower.on_loop(settling));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_an_instance_that_knows_no_eras_is_not_newer)
+{
+    platform_store store;
+    store.put("servers/i-1", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
+    follower.on_loop([](auto& each) {
+        each.import_catalog({.table = {}, .list_revision = 99, .entries = {{"servers/i-2", entry()}}});
+        return 0;
+    });
+    BOOST_TEST(!follower.endpoints().entries.contains("servers/i-2"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
