--- a/tests/adapter/catalog_follower_test.cpp
+++ b/tests/adapter/catalog_follower_test.cpp
@@ -494,6 +494,48 @@
     BOOST_TEST(settled.entries.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_that_a_peers_copy_brings_back_to_a_reader_goes_again)
+{
+    platform_store store;
+    store.put("servers/i-1", entry());
+    store.put("servers/i-2", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 2; }));
+    auto copy = follower.on_loop([](auto& each) { return each.export_catalog(); });
+    store.remove("servers/i-2");
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 1; }));
+    copy.list_revision += 2;
+    follower.on_loop([&](auto& each) {
+        each.import_catalog(copy);
+        return 0;
+    });
+    BOOST_TEST(follower.endpoints().entries.size() == 2U);
+    store.put("servers/i-3", entry());
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-3"); }));
+    BOOST_TEST(follower.eventually([&] { return !follower.endpoints().entries.contains("servers/i-2"); }));
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_that_lies_below_a_confirmed_position_is_not_lost)
+{
+    platform_store store;
+    store.put("servers/i-1", entry());
+    store.put("servers/i-2", entry());
+    running_follower follower{store};
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.size() == 2; }));
+    const auto ahead = follower.on_loop([](auto& each) {
+        auto position = each.list_position();
+        position.revision += 2;
+        each.confirm_endpoints(position, relay::event_loop::now());
+        return position;
+    });
+    store.remove("servers/i-2");
+    std::this_thread::sleep_for(500ms); // the watch has returned the removal, below the confirmed position
+    store.put("servers/i-3", entry());
+    BOOST_TEST(follower.eventually([&] { return follower.endpoints().entries.contains("servers/i-3"); }));
+    BOOST_TEST(follower.eventually([&] { return !follower.endpoints().entries.contains("servers/i-2"); }));
+    BOOST_CHECK(follower.on_loop([](auto& each) { return each.list_position(); }) >= ahead);
+}
+
 BOOST_AUTO_TEST_CASE(an_exception_from_a_handler_does_not_end_following_and_what_it_was_given_is_given_again)
 {
     platform_store store;
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -194,7 +194,7 @@
         response.prepare_payload();
         http::response_serializer<http::string_body> serializer{response};
         http::write_header(socket, serializer, error);
-        if (body.size() > large_body_bytes) {
+        if (sent.body.size() > large_body_bytes) {
             std::this_thread::sleep_for(5ms); // the head arrives by itself
         }
         if (!error) {
