Give endpoints a second restoration time to be back as well

What could be seen when a store is restored twice within seconds: an endpoint that both copies lack is dropped 2.2 s after the first restoration, while the store is away for the second one and the endpoint cannot write. Cause: the removal deadlines of the first restoration were kept as they were. Evidence: a_second_restoration_does_not_drop_an_endpoint_before_it_can_be_back fails on the code before at "!pass_time(list, start + 2300ms)" and "list.entries.contains("a")". Change: a new era extends the pending removals. Result: test_catalog passes.

--- a/src/catalog/endpoint_list.cpp
+++ b/src/catalog/endpoint_list.cpp
@@ -123,6 +123,9 @@
     }
     if (list.position != store_position{}) {
         list.restored_at = now;
+        for (auto& [key, remove_at] : list.pending_removals) {
+            remove_at = std::max(remove_at, now + reregistration_grace);
+        }
     }
     list.position = {.era = era, .revision = 0};
 }
--- a/tests/catalog/restoration_test.cpp
+++ b/tests/catalog/restoration_test.cpp
@@ -149,6 +149,18 @@
     BOOST_TEST(!list.entries.contains("b"));
 }
 
+BOOST_AUTO_TEST_CASE(a_second_restoration_does_not_drop_an_endpoint_before_it_can_be_back)
+{
+    auto list = known_list({entry("a"), entry("b")});
+    catalog::apply_snapshot(list, {entry("b")}, {.era = 2, .revision = 3}, no_outage, start);
+    catalog::begin_era(list, 3, start + 2s);
+    BOOST_TEST(!pass_time(list, start + 2300ms));
+    BOOST_TEST(list.entries.contains("a"));
+    catalog::apply_changes(list, {entry("a")}, {.era = 3, .revision = 4}, no_outage, start + 3s);
+    pass_time(list, start + 3s + settled);
+    BOOST_TEST(list.entries.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_instance_that_was_cut_off_over_two_eras_keeps_what_it_knew)
 {
     auto list = known_list({entry("a", true), entry("b")});
