--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -219,7 +219,7 @@
 /// Relays complete events until the stream ends.
 /// @remarks After a resume, an end without any event is taken as the stream's end only if an end mark or the
 /// number of tokens shows that the caller has every event. Otherwise the stream breaks: a caller that resumes
-/// learns from its own request that nothing follows, but one that was told a false end cannot know.
+/// learns from its own request that nothing follows, but one that received a false end cannot know.
 asio::awaitable<attempt_result> relay_events(request_state& state,
                                              std::shared_ptr<endpoint_connection> connection,
                                              std::unique_ptr<head_parser> head,
--- a/src/traffic/endpoint_exchange.cpp
+++ b/src/traffic/endpoint_exchange.cpp
@@ -207,7 +207,7 @@
 
 std::unique_ptr<http_socket> endpoint_exchange::take_clean_connection()
 {
-    // An answer without an id that came once more could not be told from the next request's.
+    // A repeated answer without an id could not be distinguished from the next request's.
     if (!this->parser || !this->parser->is_done() || !this->parser->keep_alive() || !this->names_request ||
         this->failure.reason != failure::none || !this->socket->clean_and_open()) {
         return nullptr;
