Log by which digest a cut request is recognised when it comes again

The log could not say whether the cut requests were one request or many: requests of plain services have no prompt parts, and each attempt of a caller has its own id.

Change: attempt_cut names a digest of method, host, path with query, team and body. Nothing else of the body is logged.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -4,6 +4,7 @@
 #include "further_response.hpp"
 #include "refusal.hpp"
 
+#include "hibiscusfall/dispatch/request_digest.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <algorithm>
@@ -436,6 +437,15 @@
     return is_begun ? traffic::continue_after(delivered) : traffic::event_scanner{};
 }
 
+std::uint64_t digest_of(const request_state& state)
+{
+    return dispatch::digest_of({.method = to_view(state.request.method_string()),
+                                .host = state.route->host,
+                                .target = to_view(state.request.target()),
+                                .team = state.team_tag,
+                                .body = state.request.body()});
+}
+
 std::string response_fields(const response_head& head)
 {
     http::fields fields{head};
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -73,6 +73,10 @@
 /// @brief Sends a buffered response to the caller.
 asio::awaitable<void> send_response(request_state& state, const buffered_response& answer);
 
+/// @brief The digest by which all instances recognise the request when its caller sends it again.
+/// @pre The request's route has been found.
+[[nodiscard]] std::uint64_t digest_of(const request_state& state);
+
 /// @brief Header lines of a response that are relayed to the caller, with line ends.
 [[nodiscard]] std::string response_fields(const response_head& head);
 
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -93,6 +93,7 @@
                          .with("unframed", end.ends_with_connection)
                          .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
                          .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
+                         .with("request", detail::format_segments(std::array{digest_of(state)}))
                          .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
 }
 
