Attribute crashes of endpoints to whole requests as well as to prompt segments

A model request whose segments sound requests share was found late or never.

Cause: content that ends whoever takes it was only looked for in segments that requests share. A request without a prompt had none, the request's own part was left out, and a crash after the answer had begun was not looked into.

Change: the digest of the whole request is one more trait beside its segments, with the same rules for suspecting, clearing, sharing, holding and trying again. Only a complete answer to the request clears its digest; the beginning of an answer clears segments as before. Crashes after an answer has begun count, as weaker evidence: such a request makes no rival to one that had not begun. Digests are computed only while there are findings.

Why it works: the request is recognised wherever it arrives, as all instances compute the same digest of method, host, path, team and body. What is rejected are requests that have all traits of a cause, so that for a plain service it is the one request.

Tests: scripts of the relay's test endpoints end at a connection that closes without a request, as checks of an endpoint now reach them; before, they read from an absent request. Requests of crashing_segment_test differ in their bodies as in their prompts: with one body they were one request, which three cases did not mean. No check was changed.

--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -41,6 +41,7 @@
 #include "hibiscusfall/dispatch/prompt.hpp"
 #include "hibiscusfall/dispatch/repeat_budget.hpp"
 #include "hibiscusfall/dispatch/request_digest.hpp"
+#include "hibiscusfall/dispatch/request_traits.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 #include "hibiscusfall/encoding/base64.hpp"
 #include "hibiscusfall/encoding/percent.hpp"
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -41,38 +41,40 @@
     MSGPACK_DEFINE(part, endpoint)
 };
 
-/// @brief A request whose engine crashed before the answer began.
+/// @brief A request that was in progress at an endpoint that crashed.
 struct suspect_entry {
     dispatch::endpoint_tag endpoint = 0;
     dispatch::team_tag team = 0;
-    std::vector<std::uint64_t> segments{};
+    std::vector<std::uint64_t> traits{};
     std::uint32_t age_ms = 0; ///< Time since the crash.
-    MSGPACK_DEFINE(endpoint, team, segments, age_ms)
+    bool answer_begun = false;
+    MSGPACK_DEFINE(endpoint, team, traits, age_ms, answer_begun)
 };
 
-/// @brief A segment on which an answer has begun although it was suspected of a crash.
-struct exonerated_segment {
-    std::uint64_t segment = 0;
-    std::uint32_t age_ms = 0; ///< Time since the answer began.
-    MSGPACK_DEFINE(segment, age_ms)
+/// @brief A trait that an answer shows not to be the cause of a crash of which it was suspected.
+struct exonerated_trait {
+    std::uint64_t trait = 0;
+    std::uint32_t age_ms = 0; ///< Time since the answer.
+    MSGPACK_DEFINE(trait, age_ms)
 };
 
-/// @brief Segments to which crashes are attributed.
+/// @brief Traits to which crashes are attributed.
 struct cause_entry {
-    std::vector<std::uint64_t> segments{};
+    std::vector<std::uint64_t> traits{};
     std::vector<dispatch::team_tag> team{}; ///< The only team concerned; empty for all teams.
     std::uint32_t crashes = 0;
     std::uint32_t age_ms = 0;  ///< Time since the last crash.
     std::uint32_t hold_ms = 0; ///< Time after the last crash for which requests are rejected.
-    MSGPACK_DEFINE(segments, team, crashes, age_ms, hold_ms)
+    std::optional<std::uint32_t> trial_age_ms{}; ///< Time since a trial was sent; empty if none was.
+    MSGPACK_DEFINE(traits, team, crashes, age_ms, hold_ms, trial_age_ms)
 };
 
 /// @brief What one report says of crashes.
 struct crash_findings {
     std::vector<suspect_entry> suspects{};
-    std::vector<exonerated_segment> exonerated{};
+    std::vector<exonerated_trait> exonerated{};
     std::vector<cause_entry>
-        causes{}; ///< One known cause in a full report; all of them in a reply to a newcomer.
+        causes{}; ///< Those with a new trial, and one in a full report; all of them in a reply to a newcomer.
     [[nodiscard]] bool empty() const noexcept
     {
         return this->suspects.empty() && this->exonerated.empty() && this->causes.empty();
@@ -158,7 +160,7 @@
 bool apply(dispatch::fleet_state& book, const load_report& report, core::instant now);
 
 /// @brief Applies what a peer reports of crashes.
-/// @returns Segments on which this instance knows that an answer has begun, to be reported in turn.
+/// @returns Traits that answers at this instance exonerate, to be reported in turn.
 std::vector<std::uint64_t>
 apply(dispatch::crash_attribution& known, const crash_findings& findings, core::instant now);
 
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -142,6 +142,7 @@
     std::vector<sent_prompt_part> last_prompt_parts;
     std::vector<dispatch::crash_suspect> last_suspects;
     std::vector<std::pair<std::uint64_t, core::instant>> last_exonerated;
+    std::vector<dispatch::crash_cause> last_tried;
     std::size_t next_cause = 0; ///< Number of the cause that the next full report contains.
     report_batch batch;         ///< Reports that this instance forwards to its domain as the hub.
     core::address own_hub{};    ///< Not set while this instance is the hub or its domain needs none.
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -43,7 +43,8 @@
     std::vector<dispatch::endpoint_tag> leaving_endpoints;               ///< Announced to this instance.
     std::vector<dispatch::crash_suspect> crash_suspects;                 ///< Found since the last report.
     std::vector<std::pair<std::uint64_t, core::instant>>
-        exonerated_segments; ///< Found since the last report, with the start of the answer.
+        exonerated_traits; ///< Found since the last report, with the time of the answer.
+    std::vector<dispatch::crash_cause> tried_causes; ///< Of which a trial was sent since the last report.
 };
 
 /// @brief HTTP server that relays callers' requests to endpoints, on one event loop.
--- a/src/dispatch/crash_causes.cpp
+++ b/src/dispatch/crash_causes.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 
 namespace hibiscusfall::dispatch::detail
@@ -13,22 +14,22 @@
 namespace
 {
 
-using segment_ids = std::vector<std::uint64_t>;
+using trait_ids = std::vector<std::uint64_t>;
 
-segment_ids remaining_segments(const crash_attribution& state, const crash_suspect& suspect)
+trait_ids remaining_traits(const crash_attribution& state, const crash_suspect& suspect)
 {
-    segment_ids remaining;
-    std::copy_if(suspect.segments.begin(),
-                 suspect.segments.end(),
+    trait_ids remaining;
+    std::copy_if(suspect.traits.begin(),
+                 suspect.traits.end(),
                  std::back_inserter(remaining),
-                 [&](auto segment) { return !is_exonerated(state, segment, suspect.crashed_at); });
+                 [&](auto trait) { return !is_exonerated(state, trait, suspect.crashed_at); });
     return remaining;
 }
 
-/// A suspect with the segments that are not exonerated.
+/// A suspect with the traits that are not exonerated.
 struct open_suspect {
     const crash_suspect* suspect = nullptr;
-    segment_ids segments;
+    trait_ids traits;
 };
 
 using open_suspects = std::vector<open_suspect>;
@@ -37,20 +38,20 @@
 crash_cause common_cause(std::span<const open_suspect* const> suspects)
 {
     const auto& first = *suspects.front();
-    crash_cause cause{.segments = first.segments,
+    crash_cause cause{.traits = first.traits,
                       .team = first.suspect->team,
                       .first_crash = first.suspect->crashed_at,
                       .last_crash = first.suspect->crashed_at,
                       .hold = initial_hold};
     std::vector<const crash_suspect*> all;
     for (const auto* each : suspects) {
-        segment_ids common;
-        std::set_intersection(cause.segments.begin(),
-                              cause.segments.end(),
-                              each->segments.begin(),
-                              each->segments.end(),
+        trait_ids common;
+        std::set_intersection(cause.traits.begin(),
+                              cause.traits.end(),
+                              each->traits.begin(),
+                              each->traits.end(),
                               std::back_inserter(common));
-        cause.segments = std::move(common);
+        cause.traits = std::move(common);
         if (cause.team != each->suspect->team) {
             cause.team.reset();
         }
@@ -62,27 +63,39 @@
     return cause;
 }
 
-/// A segment with the cause that its suspects have in common.
+/// A trait with the cause that its suspects have in common.
 struct candidate {
-    std::uint64_t segment = 0;
+    std::uint64_t trait = 0;
     crash_cause cause;
-    std::set<endpoint_tag> endpoints;
+    std::set<endpoint_tag> endpoints{};
+    bool answer_begun = false; ///< Whether that of any of the suspects had.
 };
 
-/// The segments of separate crashes that are enough to establish a cause.
+/// The traits of separate crashes that are enough to establish a cause.
 std::vector<candidate> find_candidates(const open_suspects& open)
 {
-    std::map<std::uint64_t, std::vector<const open_suspect*>> groups;
+    std::vector<std::pair<std::uint64_t, const open_suspect*>> entries;
     for (const auto& each : open) {
-        for (const auto segment : each.segments) {
-            groups[segment].push_back(&each);
+        for (const auto trait : each.traits) {
+            entries.emplace_back(trait, &each);
         }
     }
+    std::sort(entries.begin(), entries.end());
     std::vector<candidate> candidates;
-    for (const auto& [segment, suspects] : groups) {
-        candidate added{.segment = segment, .cause = common_cause(suspects)};
+    std::vector<const open_suspect*> suspects;
+    for (auto position = entries.begin(); position != entries.end();) {
+        const auto trait = position->first;
+        suspects.clear();
+        for (; position != entries.end() && position->first == trait; ++position) {
+            suspects.push_back(position->second);
+        }
+        if (suspects.size() < min_crashes) {
+            continue;
+        }
+        candidate added{.trait = trait, .cause = common_cause(suspects)};
         for (const auto* each : suspects) {
             added.endpoints.insert(each->suspect->endpoint);
+            added.answer_begun = added.answer_begun || each->suspect->answer_begun;
         }
         if (added.cause.crashes >= min_crashes) {
             candidates.push_back(std::move(added));
@@ -91,16 +104,31 @@
     return candidates;
 }
 
-/// Whether another cause is as likely for some of a candidate's crashes. A third crash decides.
-bool is_ambiguous(const candidate& each, std::span<const candidate> candidates)
+using candidates_by_endpoint = std::unordered_map<endpoint_tag, std::vector<const candidate*>>;
+
+candidates_by_endpoint index_by_endpoint(std::span<const candidate> candidates)
+{
+    candidates_by_endpoint index;
+    for (const auto& each : candidates) {
+        for (const auto endpoint : each.endpoints) {
+            index[endpoint].push_back(&each);
+        }
+    }
+    return index;
+}
+
+/// Whether another cause is as likely for some of a candidate's crashes. A third crash decides. Endpoints
+/// crash when they begin to run a request, so one whose answer had begun is less likely than one that waited.
+bool is_ambiguous(const candidate& each, const candidates_by_endpoint& index)
 {
+    const auto& traits = each.cause.traits;
     return each.cause.crashes == min_crashes &&
-           std::any_of(candidates.begin(), candidates.end(), [&](const candidate& other) {
-               return !std::binary_search(
-                          each.cause.segments.begin(), each.cause.segments.end(), other.segment) &&
-                      std::any_of(other.endpoints.begin(), other.endpoints.end(), [&](endpoint_tag endpoint) {
-                          return each.endpoints.contains(endpoint);
-                      });
+           std::any_of(each.endpoints.begin(), each.endpoints.end(), [&](endpoint_tag endpoint) {
+               const auto& others = index.at(endpoint);
+               return std::any_of(others.begin(), others.end(), [&](const candidate* other) {
+                   return (each.answer_begun || !other->answer_begun) &&
+                          !std::binary_search(traits.begin(), traits.end(), other->trait);
+               });
            });
 }
 
@@ -109,7 +137,7 @@
 {
     std::vector<endpoint_tag> explained;
     for (const auto& each : open) {
-        if (contains_all(each.segments, cause.segments)) {
+        if (contains_all(each.traits, cause.traits)) {
             explained.push_back(each.suspect->endpoint);
         }
     }
@@ -120,10 +148,10 @@
 
 } // namespace
 
-bool is_exonerated(const crash_attribution& state, std::uint64_t segment, core::instant crashed_at)
+bool is_exonerated(const crash_attribution& state, std::uint64_t trait, core::instant crashed_at)
 {
-    const auto found = state.exonerated.find(segment);
-    return found != state.exonerated.end() && found->second + start_validity >= crashed_at;
+    const auto found = state.exonerated.find(trait);
+    return found != state.exonerated.end() && found->second + answer_validity >= crashed_at;
 }
 
 bool contains_all(std::span<const std::uint64_t> sorted, std::span<const std::uint64_t> sorted_part)
@@ -159,26 +187,28 @@
 {
     open_suspects open;
     for (const auto& each : state.suspects) {
-        open.push_back({.suspect = &each, .segments = remaining_segments(state, each)});
+        open.push_back({.suspect = &each, .traits = remaining_traits(state, each)});
     }
     std::vector<crash_cause> causes;
-    while (true) {
+    while (causes.size() < max_causes) {
         const auto candidates = find_candidates(open);
+        const auto index = index_by_endpoint(candidates);
         const candidate* worst = nullptr;
         for (const auto& each : candidates) {
             const auto weight = [](const candidate& of) {
-                return std::pair{of.cause.crashes, of.cause.segments.size()};
+                return std::pair{of.cause.crashes, of.cause.traits.size()};
             };
-            if (!is_ambiguous(each, candidates) && (worst == nullptr || weight(*worst) < weight(each))) {
+            if (!is_ambiguous(each, index) && (worst == nullptr || weight(*worst) < weight(each))) {
                 worst = &each;
             }
         }
         if (worst == nullptr) {
-            return causes;
+            break;
         }
         remove_explained(open, worst->cause);
         causes.push_back(worst->cause);
     }
+    return causes;
 }
 
 } // namespace hibiscusfall::dispatch::detail
--- a/src/dispatch/crash_causes.hpp
+++ b/src/dispatch/crash_causes.hpp
@@ -9,9 +9,9 @@
 namespace hibiscusfall::dispatch::detail
 {
 
-/// @brief Whether an answer on a segment shows that it did not cause a crash at @p crashed_at.
+/// @brief Whether an answer shows that a trait did not cause a crash at @p crashed_at.
 [[nodiscard]] bool
-is_exonerated(const crash_attribution& state, std::uint64_t segment, core::instant crashed_at);
+is_exonerated(const crash_attribution& state, std::uint64_t trait, core::instant crashed_at);
 
 /// @brief Whether one sorted range contains all elements of another one.
 [[nodiscard]] bool contains_all(std::span<const std::uint64_t> sorted,
@@ -20,8 +20,8 @@
 /// @brief Number of the suspects' crashes; those within @c common_crash_window count as one.
 [[nodiscard]] std::uint32_t count_separate_crashes(std::span<const crash_suspect* const> suspects);
 
-/// @brief Derives causes from the suspects: the segment with the most crashes first; the crashes that it
-/// explains do not count against other segments.
+/// @brief Derives causes from the suspects: the trait with the most crashes first; the crashes that it
+/// explains do not count against other traits.
 [[nodiscard]] std::vector<crash_cause> derive_causes(const crash_attribution& state);
 
 } // namespace hibiscusfall::dispatch::detail
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -79,13 +79,16 @@
 
 cause_entry to_entry(const dispatch::crash_cause& cause, core::instant now)
 {
-    cause_entry entry{.segments = cause.segments,
+    cause_entry entry{.traits = cause.traits,
                       .crashes = cause.crashes,
                       .age_ms = to_milliseconds(core::elapsed(cause.last_crash, now)),
                       .hold_ms = to_milliseconds(cause.hold)};
     if (cause.team) {
         entry.team.push_back(*cause.team);
     }
+    if (cause.trial_sent != core::instant{}) {
+        entry.trial_age_ms = to_milliseconds(core::elapsed(cause.trial_sent, now));
+    }
     return entry;
 }
 
@@ -137,20 +140,21 @@
         exonerated.insert(exonerated.end(), more.begin(), more.end());
     };
     for (const auto& each : findings.exonerated) {
-        dispatch::record_exoneration(known, each.segment, now - milliseconds{each.age_ms});
+        dispatch::record_exoneration(known, each.trait, now - milliseconds{each.age_ms});
     }
     for (const auto& each : findings.suspects) {
         dispatch::crash_suspect suspect{.endpoint = each.endpoint,
                                         .team = each.team,
-                                        .segments = each.segments,
-                                        .crashed_at = now - milliseconds{each.age_ms}};
-        std::sort(suspect.segments.begin(), suspect.segments.end());
-        suspect.segments.resize(std::min(suspect.segments.size(), dispatch::max_suspect_segments));
+                                        .traits = each.traits,
+                                        .crashed_at = now - milliseconds{each.age_ms},
+                                        .answer_begun = each.answer_begun};
+        std::sort(suspect.traits.begin(), suspect.traits.end());
+        suspect.traits.resize(std::min(suspect.traits.size(), dispatch::max_suspect_traits));
         add(dispatch::record_suspect(known, suspect, now));
     }
     for (const auto& each : findings.causes) {
         dispatch::crash_cause cause{
-            .segments = each.segments,
+            .traits = each.traits,
             .crashes = each.crashes,
             .first_crash = now - milliseconds{each.age_ms},
             .last_crash = now - milliseconds{each.age_ms},
@@ -158,8 +162,11 @@
         if (!each.team.empty()) {
             cause.team = each.team.front();
         }
-        std::sort(cause.segments.begin(), cause.segments.end());
-        cause.segments.resize(std::min(cause.segments.size(), dispatch::max_suspect_segments));
+        if (each.trial_age_ms) {
+            cause.trial_sent = now - milliseconds{*each.trial_age_ms};
+        }
+        std::sort(cause.traits.begin(), cause.traits.end());
+        cause.traits.resize(std::min(cause.traits.size(), dispatch::max_suspect_traits));
         add(dispatch::record_cause(known, cause, now));
     }
     return exonerated;
--- a/src/peers/own_report.cpp
+++ b/src/peers/own_report.cpp
@@ -101,22 +101,28 @@
 
 void peer_exchange::add_crash_findings(load_report& report, bool full, core::instant now)
 {
-    // Like prompt parts, suspects and exonerated segments are sent in two reports.
+    // Like prompt parts, suspects, exonerated traits and trials are sent in two reports.
     auto suspects =
         std::exchange(this->last_suspects, std::exchange(this->entry.activity.crash_suspects, {}));
     suspects.insert(suspects.end(), this->last_suspects.begin(), this->last_suspects.end());
     for (const auto& each : suspects) {
         report.crashes.suspects.push_back({.endpoint = each.endpoint,
                                            .team = each.team,
-                                           .segments = each.segments,
-                                           .age_ms = to_milliseconds(core::elapsed(each.crashed_at, now))});
+                                           .traits = each.traits,
+                                           .age_ms = to_milliseconds(core::elapsed(each.crashed_at, now)),
+                                           .answer_begun = each.answer_begun});
     }
     auto exonerated =
-        std::exchange(this->last_exonerated, std::exchange(this->entry.activity.exonerated_segments, {}));
+        std::exchange(this->last_exonerated, std::exchange(this->entry.activity.exonerated_traits, {}));
     exonerated.insert(exonerated.end(), this->last_exonerated.begin(), this->last_exonerated.end());
-    for (const auto& [segment, at] : exonerated) {
+    for (const auto& [trait, at] : exonerated) {
         report.crashes.exonerated.push_back(
-            {.segment = segment, .age_ms = to_milliseconds(core::elapsed(at, now))});
+            {.trait = trait, .age_ms = to_milliseconds(core::elapsed(at, now))});
+    }
+    auto tried = std::exchange(this->last_tried, std::exchange(this->entry.activity.tried_causes, {}));
+    tried.insert(tried.end(), this->last_tried.begin(), this->last_tried.end());
+    for (const auto& each : tried) {
+        report.crashes.causes.push_back(to_entry(each, now));
     }
     const auto& causes = this->entry.fleet.crashes.causes;
     if (full && !causes.empty()) {
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -279,8 +279,8 @@
     }
     apply(this->entry.fleet, report, now);
     if (!report.crashes.empty()) {
-        for (const auto segment : apply(this->entry.fleet.crashes, report.crashes, now)) {
-            this->entry.activity.exonerated_segments.emplace_back(segment, now);
+        for (const auto trait : apply(this->entry.fleet.crashes, report.crashes, now)) {
+            this->entry.activity.exonerated_traits.emplace_back(trait, now);
         }
         this->entry.apply_cause_changes();
     }
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -158,7 +158,11 @@
             request_outcome::failed);
     }
     const bool success = answer.status >= 200 && answer.status < 300;
-    if (!success || !metadata.is_signed || metadata.request_id.empty()) {
+    const bool is_answer = metadata.is_signed && !metadata.request_id.empty() && !metadata.not_run;
+    if (is_answer) {
+        record_answer_end(state);
+    }
+    if (!success || !is_answer) {
         co_return classify_failure(metadata, std::move(answer));
     }
     record_answer_start(state, ticket);
@@ -303,6 +307,7 @@
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
+    record_answer_end(state);
     if (!state.head_sent) {
         co_await send_stream_head(state, parser.get());
     }
@@ -446,6 +451,16 @@
                                 .body = state.request.body()});
 }
 
+const dispatch::request_traits& traits_of(request_state& state)
+{
+    if (!state.traits) {
+        const auto& generation = state.metadata.generation;
+        state.traits = dispatch::traits_of(generation ? &*generation : nullptr);
+        state.traits->digest = digest_of(state);
+    }
+    return *state.traits;
+}
+
 std::string response_fields(const response_head& head)
 {
     http::fields fields{head};
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -6,6 +6,7 @@
 #include "hibiscusfall/catalog/route_table.hpp"
 #include "hibiscusfall/core/verdict.hpp"
 #include "hibiscusfall/dispatch/placement.hpp"
+#include "hibiscusfall/dispatch/request_traits.hpp"
 #include "hibiscusfall/traffic/event_scanner.hpp"
 
 #include <optional>
@@ -36,7 +37,9 @@
     core::instant last_event{};           ///< Time of the last event relayed to the caller.
     core::duration first_event{};         ///< From the request's arrival to the first event; zero until then.
     core::duration longest_pause{};       ///< Longest time between two events.
-    bool withdrawn = false; ///< Whether the attempt was cancelled because its prompt crashes engines.
+    std::optional<dispatch::request_traits> traits{}; ///< Once needed; read through traits_of().
+    bool withdrawn = false; ///< Whether the attempt was cancelled because the request crashes endpoints.
+    bool is_trial = false;  ///< Whether it was let through to try whether it still crashes endpoints.
 };
 
 /// @brief A complete response of an endpoint, buffered until it is known whether the caller gets it.
@@ -77,6 +80,10 @@
 /// @pre The request's route has been found.
 [[nodiscard]] std::uint64_t digest_of(const request_state& state);
 
+/// @brief What crashes can be attributed to in the request, with its digest.
+/// @pre The request's route has been found.
+[[nodiscard]] const dispatch::request_traits& traits_of(request_state& state);
+
 /// @brief Header lines of a response that are relayed to the caller, with line ends.
 [[nodiscard]] std::string response_fields(const response_head& head);
 
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -18,16 +18,21 @@
 /// An endpoint that has ended refuses connections within a round trip.
 constexpr core::duration probe_limit = std::chrono::milliseconds{400};
 
-void add_exonerations(relay_server& server, std::span<const std::uint64_t> segments, core::instant at)
+/// Reports traits that an answer has exonerated, and puts the changes into effect.
+void apply_exonerations(relay_server& server, std::span<const std::uint64_t> traits, core::instant at)
 {
-    for (const auto segment : segments) {
-        server.activity.exonerated_segments.emplace_back(segment, at);
+    if (traits.empty()) {
+        return;
+    }
+    for (const auto trait : traits) {
+        server.activity.exonerated_traits.emplace_back(trait, at);
     }
+    apply_cause_changes(server);
 }
 
 bool is_same_cause(const dispatch::crash_cause& a, const dispatch::crash_cause& b)
 {
-    return a.segments == b.segments && a.team == b.team;
+    return a.traits == b.traits && a.team == b.team;
 }
 
 bool contains(std::span<const dispatch::crash_cause> causes, const dispatch::crash_cause& cause)
@@ -40,7 +45,7 @@
 {
     telemetry::write(telemetry::log_event{"crash_cause"}
                          .with("state", state)
-                         .with("parts", format_segments(cause.segments))
+                         .with("parts", format_ids(cause.traits))
                          .with("team_tag", cause.team ? std::to_string(*cause.team) : "any")
                          .with("crashes", cause.crashes)
                          .with("confirmed", cause.confirmed)
@@ -62,11 +67,8 @@
     telemetry::write(
         telemetry::log_event{"endpoint_crashed"}.with("endpoint", id).with("suspects", suspects.size()));
     for (const auto& suspect : suspects) {
-        if (suspect.segments.empty()) {
-            continue;
-        }
         server.activity.crash_suspects.push_back(suspect);
-        add_exonerations(server, dispatch::record_suspect(server.fleet.crashes, suspect, now), now);
+        apply_exonerations(server, dispatch::record_suspect(server.fleet.crashes, suspect, now), now);
     }
     apply_cause_changes(server);
 }
@@ -101,26 +103,36 @@
         return;
     }
     const auto now = event_loop::now();
-    const auto exonerated =
-        dispatch::record_start(state.server.fleet.crashes, *state.metadata.generation, now);
-    if (!exonerated.empty()) {
-        add_exonerations(state.server, exonerated, now);
-        apply_cause_changes(state.server);
+    const auto traits = state.traits ? *state.traits : dispatch::traits_of(&*state.metadata.generation);
+    apply_exonerations(state.server, dispatch::record_start(state.server.fleet.crashes, traits, now), now);
+}
+
+void record_answer_end(request_state& state)
+{
+    const auto& crashes = state.server.fleet.crashes;
+    if (!dispatch::has_findings(crashes) && state.server.crashes->unconfirmed.empty()) {
+        return;
     }
+    const auto now = event_loop::now();
+    const auto& traits = traits_of(state);
+    apply_exonerations(state.server, dispatch::record_answer(state.server.fleet.crashes, traits, now), now);
 }
 
-void check_for_crash(relay_server& server,
-                     const dispatch::endpoint_state& endpoint,
-                     const dispatch::prompt& prompt,
-                     dispatch::team_tag team)
+void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, bool answer_begun)
 {
     const auto now = event_loop::now();
+    auto& server = state.server;
+    auto traits = traits_of(state);
+    if (answer_begun) {
+        traits.segments.clear();
+    }
     auto& suspects = server.crashes->unconfirmed[endpoint.tag];
     const bool is_checked = !suspects.empty();
     suspects.push_back({.endpoint = endpoint.tag,
-                        .team = team,
-                        .segments = dispatch::suspect_segments(server.fleet.crashes, prompt, now),
-                        .crashed_at = now});
+                        .team = state.team_tag,
+                        .traits = dispatch::suspect_traits(server.fleet.crashes, traits, now),
+                        .crashed_at = now,
+                        .answer_begun = answer_begun});
     if (!is_checked) {
         asio::co_spawn(server.loop.context(),
                        confirm_crash(server, endpoint.tag, endpoint.entry.address, endpoint.entry.id.str()),
@@ -128,10 +140,48 @@
     }
 }
 
+void record_sending(request_state& state, std::uint64_t ticket)
+{
+    auto& server = state.server;
+    server.crashes->waiting[ticket] = &state;
+    if (server.fleet.crashes.causes.empty()) {
+        return;
+    }
+    const auto tried =
+        dispatch::record_sending(server.fleet.crashes, traits_of(state), state.team_tag, event_loop::now());
+    state.is_trial = state.is_trial || !tried.empty();
+    for (const auto& cause : tried) {
+        log_cause(cause, "trial");
+        server.activity.tried_causes.push_back(cause);
+    }
+}
+
+std::string describe(const dispatch::crash_cause& cause, const dispatch::request_traits& request)
+{
+    auto segments = cause.traits;
+    const auto digests = std::erase_if(segments, [&](auto trait) { return trait == request.digest; });
+    std::string text;
+    if (digests > 0) {
+        text = "the request " + format_ids({&*request.digest, 1});
+    }
+    if (!segments.empty()) {
+        text += text.empty() ? "the prompt parts " : " with the prompt parts ";
+        text += format_ids(segments);
+    }
+    return text;
+}
+
+const dispatch::crash_cause* find_crash_cause(request_state& state)
+{
+    const auto& crashes = state.server.fleet.crashes;
+    return crashes.causes.empty()
+               ? nullptr
+               : dispatch::find_cause(crashes, traits_of(state), state.team_tag, event_loop::now());
+}
+
 void apply_cause_changes(relay_server& server)
 {
-    const auto now = event_loop::now();
-    dispatch::update_causes(server.fleet.crashes, now);
+    dispatch::update_causes(server.fleet.crashes, event_loop::now());
     const auto& causes = server.fleet.crashes.causes;
     auto& known = server.crashes->known_causes;
     if (causes.empty() && known.empty()) {
@@ -154,8 +204,7 @@
         return;
     }
     for (const auto& [ticket, state] : server.crashes->waiting) {
-        if (dispatch::find_cause(server.fleet.crashes, *state->metadata.generation, state->team_tag, now) !=
-            nullptr) {
+        if (!state->is_trial && find_crash_cause(*state) != nullptr) {
             state->withdrawn = true;
             state->caller.cancel_attempt();
         }
--- a/src/relay/crash_watch.hpp
+++ b/src/relay/crash_watch.hpp
@@ -6,13 +6,14 @@
 #include "hibiscusfall/relay/relay_server.hpp"
 
 #include <map>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
 namespace hibiscusfall::relay::detail
 {
 
-/// @brief Attempts at engines whose answers have not begun, and broken ones whose engines are being checked.
+/// @brief Attempts whose answers have not begun, and broken ones whose endpoints are being checked.
 struct crash_watch {
     std::unordered_map<std::uint64_t, request_state*> waiting; ///< By the ticket of the attempt.
     std::map<dispatch::endpoint_tag, std::vector<dispatch::crash_suspect>> unconfirmed;
@@ -22,12 +23,23 @@
 /// @brief Records that the answer to an attempt has begun.
 void record_answer_start(request_state& state, std::uint64_t ticket);
 
-/// @brief Checks whether an endpoint has crashed, after an attempt whose answer had not begun has broken. The
-/// attempt's request becomes a suspect if the endpoint refuses a connection.
-void check_for_crash(relay_server& server,
-                     const dispatch::endpoint_state& endpoint,
-                     const dispatch::prompt& prompt,
-                     dispatch::team_tag team);
+/// @brief Records that an endpoint has answered the request completely.
+void record_answer_end(request_state& state);
+
+/// @brief Checks whether an endpoint has crashed, after an attempt has broken. The attempt's request becomes
+/// a suspect if the endpoint refuses a connection.
+/// @param answer_begun Whether the attempt's answer had begun, which exonerates the segments of its prompt.
+void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, bool answer_begun);
+
+/// @brief Records that the request is sent to an endpoint, as a trial if it was rejected before.
+void record_sending(request_state& state, std::uint64_t ticket);
+
+/// @brief The cause of crashes because of which the request must not be sent; null if there is none.
+[[nodiscard]] const dispatch::crash_cause* find_crash_cause(request_state& state);
+
+/// @brief What a request has in common with a cause, for messages.
+[[nodiscard]] std::string describe(const dispatch::crash_cause& cause,
+                                   const dispatch::request_traits& request);
 
 /// @brief Logs new and withdrawn causes. Cancels the attempts that are to be rejected and have not begun.
 void apply_cause_changes(relay_server& server);
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -100,7 +100,7 @@
             }
         }
         this->state.team_tag = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
-        if (const auto* cause = this->find_crash_cause()) {
+        if (const auto* cause = find_crash_cause(this->state)) {
             return this->reject_for(*cause);
         }
         const bool is_stream = this->state.route->kind == catalog::route_kind::stream;
@@ -125,26 +125,15 @@
         return std::nullopt;
     }
 
-    /// The cause of crashes because of which the request must not be sent; null if there is none.
-    [[nodiscard]] const dispatch::crash_cause* find_crash_cause() const
-    {
-        const auto& generation = this->state.metadata.generation;
-        return generation
-                   ? dispatch::find_cause(
-                         this->server.fleet.crashes, *generation, this->state.team_tag, event_loop::now())
-                   : nullptr;
-    }
-
-    /// Refusal of a request to whose segments crashes are attributed. Retry-After is the time until they are
-    /// tried again, even if the caller's deadline is earlier.
+    /// Refusal of a request to which crashes are attributed. Retry-After is the time until it is tried again,
+    /// even if the caller's deadline is earlier.
     refusal reject_for(const dispatch::crash_cause& cause)
     {
         ++this->server.counters.refused_crash_cause;
         return {.status = 503,
                 .code = to_string(failure::crashes_endpoints),
-                .detail = std::to_string(cause.crashes) +
-                          " crashes of endpoints are attributed to the prompt parts " +
-                          detail::format_segments(cause.segments),
+                .detail = std::to_string(cause.crashes) + " crashes of endpoints are attributed to " +
+                          describe(cause, traits_of(this->state)),
                 .retry_after = core::elapsed(event_loop::now(),
                                              dispatch::rejected_until(this->server.fleet.crashes, cause))};
     }
@@ -244,9 +233,7 @@
         this->tried.push_back(decision.endpoint);
         const auto running = dispatch::record_dispatch(
             this->server.fleet, decision.endpoint, generation ? *generation : no_prompt, now);
-        if (generation) {
-            this->server.crashes->waiting[running.ticket] = &this->state;
-        }
+        record_sending(this->state, running.ticket);
         return running;
     }
 
@@ -269,7 +256,7 @@
         return std::min(last, now + core::elapsed(now, last) * plain_attempt_percent / 100);
     }
 
-    /// Handles an attempt that broke before its answer began: the endpoint may have crashed because of it.
+    /// Handles an attempt that broke: the endpoint may have crashed because of it.
     void check_broken_attempt(attempt_result& end, const dispatch::running_request& running)
     {
         if (this->state.withdrawn) {
@@ -282,26 +269,25 @@
             return;
         }
         const auto* endpoint = dispatch::find_endpoint(this->server.fleet, running.endpoint);
-        if (end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
-            this->state.metadata.generation && endpoint != nullptr) {
-            ++this->broken_starts;
-            check_for_crash(this->server, *endpoint, *this->state.metadata.generation, this->state.team_tag);
+        if (end.outcome.reason == failure::connection_broken && endpoint != nullptr) {
+            this->broken_starts += running.first_event_seen ? 0 : 1;
+            check_for_crash(this->state, *endpoint, running.first_event_seen);
         }
     }
 
     /// Whether the request may have crashed its endpoint, so that it must not reach another one.
-    [[nodiscard]] bool may_crash_another(const attempt_result& end, const dispatch::running_request& running)
+    [[nodiscard]] bool may_crash_another(const attempt_result& end)
     {
-        if (this->state.withdrawn || this->broken_starts > 1 || this->find_crash_cause() != nullptr) {
+        if (this->state.withdrawn || this->broken_starts > 1 || find_crash_cause(this->state) != nullptr) {
             return true;
         }
-        return end.outcome.reason == failure::connection_broken && !running.first_event_seen &&
-               this->state.metadata.generation &&
-               dispatch::is_suspect(this->server.fleet.crashes, *this->state.metadata.generation);
+        return end.outcome.reason == failure::connection_broken &&
+               dispatch::has_findings(this->server.fleet.crashes) &&
+               dispatch::is_suspect(this->server.fleet.crashes, traits_of(this->state));
     }
 
     /// Whether the request may be retried after a failed attempt.
-    bool may_retry(const attempt_result& end, const dispatch::running_request& running, core::instant now)
+    bool may_retry(const attempt_result& end, core::instant now)
     {
         const auto& route = *this->state.route;
         if (end.delivered || end.caller_disconnected ||
@@ -317,7 +303,7 @@
         if (!scanner_for_next_attempt(this->state)) {
             return false;
         }
-        if (this->may_crash_another(end, running)) {
+        if (this->may_crash_another(end)) {
             ++this->server.counters.retries_withheld;
             return false;
         }
@@ -382,7 +368,7 @@
                 end.outcome = last.outcome; // an earlier attempt may have run
             }
             last = std::move(end);
-            if (!this->may_retry(last, running, now)) {
+            if (!this->may_retry(last, now)) {
                 co_await this->finish(last, decision);
                 co_return;
             }
@@ -460,6 +446,10 @@
     asio::awaitable<void> refuse_not_run(const attempt_result& last,
                                          const dispatch::placement_decision& decision)
     {
+        if (const auto* cause = find_crash_cause(this->state)) {
+            co_await this->refuse(this->reject_for(*cause));
+            co_return;
+        }
         const bool placed = decision.placed;
         const auto reason = placed ? last.outcome.reason : decision.reason;
         if (!decision.within_share) {
--- a/src/relay/request_log.cpp
+++ b/src/relay/request_log.cpp
@@ -21,18 +21,18 @@
     for (const auto& segment : prompt.segments) {
         ids.push_back(segment.id);
     }
-    return detail::format_segments(ids);
+    return format_ids(ids);
 }
 
 } // namespace
 
-std::string format_segments(std::span<const std::uint64_t> segments)
+std::string format_ids(std::span<const std::uint64_t> ids)
 {
     std::string text;
     std::array<char, 24> digits{};
-    for (const auto segment : segments) {
+    for (const auto id : ids) {
         const int length =
-            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, segment);
+            std::snprintf(digits.data(), digits.size(), text.empty() ? "%" PRIx64 : ",%" PRIx64, id);
         text.append(digits.data(), static_cast<std::size_t>(length));
     }
     return text;
@@ -93,7 +93,7 @@
                          .with("unframed", end.ends_with_connection)
                          .with("sent_ms", core::elapsed(running.sent_at, event_loop::now()).count() / 1000)
                          .with("team", state.team == nullptr ? std::string_view{"-"} : state.team->id.view())
-                         .with("request", detail::format_segments(std::array{digest_of(state)}))
+                         .with("request", format_ids(std::array{digest_of(state)}))
                          .with("parts", generation ? format_segments(*generation) : std::string{"-"}));
 }
 
--- a/src/relay/request_log.hpp
+++ b/src/relay/request_log.hpp
@@ -34,7 +34,7 @@
                      const dispatch::running_request& running,
                      const attempt_result& end);
 
-/// @brief The ids of segments in hexadecimal, separated by commas.
-[[nodiscard]] std::string format_segments(std::span<const std::uint64_t> segments);
+/// @brief Ids of segments and digests of requests in hexadecimal, separated by commas.
+[[nodiscard]] std::string format_ids(std::span<const std::uint64_t> ids);
 
 } // namespace hibiscusfall::relay::detail
--- a/tests/dispatch/crash_attribution_test.cpp
+++ b/tests/dispatch/crash_attribution_test.cpp
@@ -20,8 +20,8 @@
 constexpr team_tag huts = 11;
 constexpr team_tag schools = 12;
 
-/// A prompt of shared segments, followed by the request's own one.
-prompt make_prompt(std::vector<std::uint64_t> shared)
+/// The traits of a prompt of shared segments, followed by the request's own one.
+request_traits make_prompt(std::vector<std::uint64_t> shared)
 {
     static std::uint64_t own = 1000000;
     prompt result;
@@ -29,23 +29,21 @@
         result.segments.push_back({.id = id, .tokens = 100});
     }
     result.segments.push_back({.id = ++own, .tokens = 20});
-    return result;
+    return traits_of(&result);
 }
 
 /// An engine crashes while these prompts wait for their answers to begin.
 void crash(crash_attribution& state,
            endpoint_tag endpoint,
            core::instant at,
-           const std::vector<prompt>& waiting,
+           const std::vector<request_traits>& waiting,
            team_tag team = huts)
 {
     for (const auto& each : waiting) {
-        (void)record_suspect(state,
-                             {.endpoint = endpoint,
-                              .team = team,
-                              .segments = suspect_segments(state, each, at),
-                              .crashed_at = at},
-                             at);
+        (void)record_suspect(
+            state,
+            {.endpoint = endpoint, .team = team, .traits = suspect_traits(state, each, at), .crashed_at = at},
+            at);
     }
 }
 
@@ -98,8 +96,9 @@
 BOOST_AUTO_TEST_CASE(the_last_segment_of_a_prompt_is_never_blamed)
 {
     crash_attribution state;
-    prompt own;
-    own.segments = {{.id = crashing, .tokens = 10}};
+    prompt generation;
+    generation.segments = {{.id = crashing, .tokens = 10}};
+    const auto own = traits_of(&generation);
     crash(state, 1, start, {own});
     crash(state, 2, start + 1s, {own});
     BOOST_TEST(state.suspects.empty());
@@ -131,7 +130,7 @@
     for (int i = 0; i < 20; ++i) {
         (void)record_suspect(
             state,
-            {.endpoint = 1, .team = huts, .segments = segments, .crashed_at = start + 400ms * (i % 5)},
+            {.endpoint = 1, .team = huts, .traits = segments, .crashed_at = start + 400ms * (i % 5)},
             start + 100ms * i);
     }
     BOOST_TEST(state.suspects.size() == 1U);
@@ -149,25 +148,25 @@
         for (endpoint_tag engine = 1; engine <= 4; ++engine) {
             all.push_back({.suspect = {.endpoint = engine,
                                        .team = huts,
-                                       .segments = {first, document, crashing},
+                                       .traits = {first, document, crashing},
                                        .crashed_at = start + 1s * static_cast<int>(engine)}});
         }
-        all.push_back({.answer = true, .suspect = {.segments = {document}, .crashed_at = start + 5s}});
-        all.push_back({.answer = true, .suspect = {.segments = {first}, .crashed_at = start + 5s}});
+        all.push_back({.answer = true, .suspect = {.traits = {document}, .crashed_at = start + 5s}});
+        all.push_back({.answer = true, .suspect = {.traits = {first}, .crashed_at = start + 5s}});
         all.push_back(all[*rc::gen::inRange<std::size_t>(0, all.size())]);
         std::mt19937 random{*rc::gen::arbitrary<std::uint32_t>()};
         std::shuffle(all.begin(), all.end(), random);
         crash_attribution state;
         for (const auto& each : all) {
             if (each.answer) {
-                record_exoneration(state, each.suspect.segments.front(), each.suspect.crashed_at);
+                record_exoneration(state, each.suspect.traits.front(), each.suspect.crashed_at);
             } else {
                 (void)record_suspect(state, each.suspect, start + 6s);
             }
         }
         update_causes(state, start + 6s);
         RC_ASSERT(state.causes.size() == 1U);
-        RC_ASSERT(state.causes.front().segments == std::vector<std::uint64_t>{crashing});
+        RC_ASSERT(state.causes.front().traits == std::vector<std::uint64_t>{crashing});
     }));
 }
 
@@ -249,7 +248,7 @@
     BOOST_TEST(state.suspects.empty());
     // An instance that hears of a suspect tells that it has seen the answer.
     const auto exonerated = record_suspect(
-        state, {.endpoint = 3, .team = huts, .segments = {document}, .crashed_at = start + 2s}, start + 2s);
+        state, {.endpoint = 3, .team = huts, .traits = {document}, .crashed_at = start + 2s}, start + 2s);
     BOOST_TEST(exonerated == std::vector<std::uint64_t>{document}, boost::test_tools::per_element());
 }
 
@@ -321,10 +320,10 @@
         }
     }
     BOOST_TEST(state.suspects.size() <= max_suspects);
-    BOOST_TEST(state.suspects.back().segments.size() <= max_suspect_segments);
+    BOOST_TEST(state.suspects.back().traits.size() <= max_suspect_traits);
     expire(state, start + 30min);
-    BOOST_TEST(state.suspects.size() + state.causes.size() + state.started.size() + state.exonerated.size() ==
-               0U);
+    BOOST_TEST(
+        state.suspects.size() + state.causes.size() + state.answered.size() + state.exonerated.size() == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -35,7 +35,7 @@
 };
 
 struct sent_request {
-    dispatch::prompt prompt;
+    dispatch::request_traits traits;
     dispatch::team_tag team = 0;
     std::uint64_t crashing = 0; ///< The crashing segment; zero for a sound request.
     std::size_t instance = 0;
@@ -102,13 +102,15 @@
             segments.push_back(request.crashing);
         }
         segments.push_back(++this->last_own);
+        dispatch::prompt prompt;
         for (const auto id : segments) {
-            request.prompt.segments.push_back({.id = id, .tokens = 100});
+            prompt.segments.push_back({.id = id, .tokens = 100});
         }
+        request.traits = dispatch::traits_of(&prompt);
         auto& instance = this->known[request.instance];
         this->result.sound += request.crashing != 0 ? 0 : 1;
         dispatch::update_causes(instance, now);
-        if (dispatch::find_cause(instance, request.prompt, request.team, now) != nullptr) {
+        if (dispatch::find_cause(instance, request.traits, request.team, now) != nullptr) {
             this->result.sound_rejected += request.crashing != 0 ? 0 : 1;
             return;
         }
@@ -140,7 +142,7 @@
             } else {
                 this->report(each.instance,
                              {},
-                             dispatch::record_start(this->known[each.instance], each.prompt, now),
+                             dispatch::record_start(this->known[each.instance], each.traits, now),
                              now);
             }
         }
@@ -176,8 +178,8 @@
             auto& instance = this->known[each.instance];
             const dispatch::crash_suspect suspect{.endpoint = tag,
                                                   .team = each.team,
-                                                  .segments =
-                                                      dispatch::suspect_segments(instance, each.prompt, now),
+                                                  .traits =
+                                                      dispatch::suspect_traits(instance, each.traits, now),
                                                   .crashed_at = now};
             this->report(each.instance, {suspect}, dispatch::record_suspect(instance, suspect, now), now);
         }
@@ -191,10 +193,10 @@
         peers::crash_findings findings;
         for (const auto& each : suspects) {
             findings.suspects.push_back(
-                {.endpoint = each.endpoint, .team = each.team, .segments = each.segments, .age_ms = 0});
+                {.endpoint = each.endpoint, .team = each.team, .traits = each.traits, .age_ms = 0});
         }
         for (const auto segment : exonerated) {
-            findings.exonerated.push_back({.segment = segment, .age_ms = 0});
+            findings.exonerated.push_back({.trait = segment, .age_ms = 0});
         }
         if (!findings.empty()) {
             this->send(from, findings, now);
@@ -267,14 +269,14 @@
 BOOST_AUTO_TEST_CASE(findings_survive_the_wire_and_reports_of_older_instances_are_read_without_them)
 {
     peers::load_report report{.instance = "a", .incarnation = 1, .sequence = 1, .domain = "north"};
-    report.crashes.suspects = {{.endpoint = 7, .team = 3, .segments = {1, 2}, .age_ms = 40}};
-    report.crashes.exonerated = {{.segment = 2, .age_ms = 10}};
-    report.crashes.causes = {{.segments = {1}, .team = {3}, .crashes = 2, .age_ms = 50, .hold_ms = 60000}};
+    report.crashes.suspects = {{.endpoint = 7, .team = 3, .traits = {1, 2}, .age_ms = 40}};
+    report.crashes.exonerated = {{.trait = 2, .age_ms = 10}};
+    report.crashes.causes = {{.traits = {1}, .team = {3}, .crashes = 2, .age_ms = 50, .hold_ms = 60000}};
     const auto bytes = peers::encode(report);
     const auto read = peers::decode(bytes);
     BOOST_REQUIRE(read.has_value());
-    BOOST_TEST(read->crashes.suspects.front().segments.size() == 2U);
-    BOOST_TEST(read->crashes.exonerated.front().segment == 2U);
+    BOOST_TEST(read->crashes.suspects.front().traits.size() == 2U);
+    BOOST_TEST(read->crashes.exonerated.front().trait == 2U);
     BOOST_TEST(read->crashes.causes.front().hold_ms == 60000U);
     const auto whole = msgpack::unpack(bytes.data(), bytes.size());
     const auto& fields = whole.get().via.array;
@@ -295,10 +297,10 @@
 {
     crash_attribution known;
     peers::crash_findings findings;
-    findings.causes = {{.segments = {}, .crashes = 9, .age_ms = 0, .hold_ms = 0xFFFFFFFF}};
+    findings.causes = {{.traits = {}, .crashes = 9, .age_ms = 0, .hold_ms = 0xFFFFFFFF}};
     for (std::uint64_t i = 0; i < 1000; ++i) {
-        findings.causes.push_back({.segments = {i}, .crashes = 2, .age_ms = 0, .hold_ms = 0xFFFFFFFF});
-        findings.suspects.push_back({.endpoint = static_cast<std::uint32_t>(i), .segments = {}});
+        findings.causes.push_back({.traits = {i}, .crashes = 2, .age_ms = 0, .hold_ms = 0xFFFFFFFF});
+        findings.suspects.push_back({.endpoint = static_cast<std::uint32_t>(i), .traits = {}});
     }
     (void)peers::apply(known, findings, start);
     dispatch::update_causes(known, start);
@@ -306,7 +308,7 @@
     BOOST_TEST(known.suspects.empty());
     dispatch::prompt none;
     none.segments = {{.id = 5000, .tokens = 1}, {.id = 5001, .tokens = 1}};
-    BOOST_TEST((dispatch::find_cause(known, none, 1, start) == nullptr));
+    BOOST_TEST((dispatch::find_cause(known, dispatch::traits_of(&none), 1, start) == nullptr));
     BOOST_TEST((known.causes.front().hold <= dispatch::max_hold));
 }
 
--- a/tests/relay/crashing_segment_test.cpp
+++ b/tests/relay/crashing_segment_test.cpp
@@ -53,7 +53,8 @@
 std::string prompt_request(int number, std::string_view shared_segments)
 {
     const auto id = std::to_string(number);
-    return request_bytes(id, "X-Prompt: " + std::string{shared_segments} + ",f" + id + ":20\r\n");
+    return request_bytes(
+        id, "X-Prompt: " + std::string{shared_segments} + ",f" + id + ":20\r\n", "prompt " + id);
 }
 
 std::size_t count_crashing(const std::vector<received_request>& requests)
--- a/tests/traffic/scripted_endpoint.cpp
+++ b/tests/traffic/scripted_endpoint.cpp
@@ -22,6 +22,10 @@
     boost::system::error_code error;
     http::request<http::string_body> request;
     http::read(this->socket, this->buffer, request, error);
+    this->used = this->used || !error || this->buffer.size() > 0;
+    if (!this->used) {
+        throw unused_connection{};
+    }
     if (error) {
         return std::nullopt;
     }
@@ -124,7 +128,10 @@
         const std::lock_guard lock(this->mutex);
         auto& connection = this->connections.emplace_back(*this, std::move(socket));
         this->threads.emplace_back([this, &connection] {
-            this->behaviour(connection);
+            try {
+                this->behaviour(connection);
+            } catch (const unused_connection&) { // nothing to answer
+            }
             connection.shut();
         });
         this->accept_next();
--- a/tests/traffic/scripted_endpoint.hpp
+++ b/tests/traffic/scripted_endpoint.hpp
@@ -32,6 +32,10 @@
 
 class scripted_endpoint;
 
+/// @brief A connection was closed without a request, as those are that only check the endpoint.
+struct unused_connection : std::exception {
+};
+
 /// @brief One connection to a scripted endpoint.
 class endpoint_connection
 {
@@ -42,6 +46,7 @@
     }
 
     /// @brief Reads one request; nothing at the end of the connection, or when it was a cancel order.
+    /// @throws unused_connection At the end of a connection without a request, which ends its script.
     std::optional<received_request> read_request();
 
     void write(std::string_view text) { this->try_write(text); }
@@ -66,6 +71,7 @@
     boost::asio::ip::tcp::socket socket;
     std::mutex closing; ///< The script and the endpoint's end may close at once.
     boost::beast::flat_buffer buffer;
+    bool used = false; ///< Whether a request has begun to arrive.
 };
 
 /// @brief A TCP server that does to each connection what its script says, and records whole requests.
