Weigh all suspects of a crash before causes are derived from them

Causes were derived after each suspect of one crash on which an answer was known, so that the first ones of the batch could be taken for the cause, and attempts be withdrawn, before a rival of the same crash was recorded. Found by reading; no play has shown it, and no test of its own. The refusal of an attempt that did not run is a named local, as g++ 12 asks.

--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -18,16 +18,19 @@
 /// An endpoint that has ended refuses connections within a round trip.
 constexpr core::duration probe_limit = std::chrono::milliseconds{400};
 
-/// Reports traits that an answer has exonerated, and puts the changes into effect.
-void apply_exonerations(relay_server& server, std::span<const std::uint64_t> traits, core::instant at)
+void report_exonerations(relay_server& server, std::span<const std::uint64_t> traits, core::instant at)
 {
-    if (traits.empty()) {
-        return;
-    }
     for (const auto trait : traits) {
         server.activity.exonerated_traits.emplace_back(trait, at);
     }
-    apply_cause_changes(server);
+}
+
+void apply_exonerations(relay_server& server, std::span<const std::uint64_t> traits, core::instant at)
+{
+    if (!traits.empty()) {
+        report_exonerations(server, traits, at);
+        apply_cause_changes(server);
+    }
 }
 
 bool is_same_cause(const dispatch::crash_cause& a, const dispatch::crash_cause& b)
@@ -68,7 +71,7 @@
         telemetry::log_event{"endpoint_crashed"}.with("endpoint", id).with("suspects", suspects.size()));
     for (const auto& suspect : suspects) {
         server.activity.crash_suspects.push_back(suspect);
-        apply_exonerations(server, dispatch::record_suspect(server.fleet.crashes, suspect, now), now);
+        report_exonerations(server, dispatch::record_suspect(server.fleet.crashes, suspect, now), now);
     }
     apply_cause_changes(server);
 }
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -447,7 +447,8 @@
                                          const dispatch::placement_decision& decision)
     {
         if (const auto* cause = find_crash_cause(this->state)) {
-            co_await this->refuse(this->reject_for(*cause));
+            const auto answer = this->reject_for(*cause);
+            co_await this->refuse(answer);
             co_return;
         }
         const bool placed = decision.placed;
