--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -162,9 +162,8 @@
 std::string describe(const dispatch::crash_cause& cause, const dispatch::request_traits& request)
 {
     auto segments = cause.traits;
-    const auto digests = std::erase_if(segments, [&](auto trait) { return trait == request.digest; });
     std::string text;
-    if (digests > 0) {
+    if (request.digest && std::erase(segments, *request.digest) > 0) {
         text = "the request " + format_ids({&*request.digest, 1});
     }
     if (!segments.empty()) {
