--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -4,6 +4,7 @@
 #include "further_response.hpp"
 #include "refusal.hpp"
 
+#include "hibiscusfall/dispatch/request_digest.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <algorithm>
@@ -157,7 +158,11 @@
             request_outcome::failed);
     }
     const bool success = answer.status >= 200 && answer.status < 300;
-    if (!success || !metadata.is_signed || metadata.request_id.empty()) {
+    const bool is_answer = metadata.is_signed && !metadata.request_id.empty() && !metadata.not_run;
+    if (is_answer) {
+        record_answer_end(state);
+    }
+    if (!success || !is_answer) {
         co_return classify_failure(metadata, std::move(answer));
     }
     record_answer_start(state, ticket);
@@ -302,6 +307,7 @@
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
+    record_answer_end(state);
     if (!state.head_sent) {
         co_await send_stream_head(state, parser.get());
     }
@@ -436,6 +442,25 @@
     return is_begun ? traffic::continue_after(delivered) : traffic::event_scanner{};
 }
 
+std::uint64_t digest_of(const request_state& state)
+{
+    return dispatch::digest_of({.method = to_view(state.request.method_string()),
+                                .host = state.route->host,
+                                .target = to_view(state.request.target()),
+                                .team = state.team_tag,
+                                .body = state.request.body()});
+}
+
+const dispatch::request_traits& traits_of(request_state& state)
+{
+    if (!state.traits) {
+        const auto& generation = state.metadata.generation;
+        state.traits = dispatch::traits_of(generation ? &*generation : nullptr);
+        state.traits->digest = digest_of(state);
+    }
+    return *state.traits;
+}
+
 std::string response_fields(const response_head& head)
 {
     http::fields fields{head};
