--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -1,3 +1,5 @@
+#include "played_reports.hpp"
+
 #include "hibiscusfall/peers/load_report.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -49,16 +51,13 @@
     core::instant back{};
 };
 
-struct report_under_way {
-    std::size_t to = 0;
-    peers::crash_findings findings;
-};
-
 class load_play
 {
 public:
     load_play(const played_load& load, std::uint32_t seed)
-        : options(load), random(seed), known(static_cast<std::size_t>(load.instances)),
+        : options(load), random(seed),
+          reports({.instances = load.instances, .loss = load.loss, .max_delay = load.report_delay},
+                  this->random),
           engines(static_cast<std::size_t>(load.engines))
     {
     }
@@ -67,8 +66,8 @@
     {
         const auto step = 5ms;
         for (auto now = start; now < start + length; now += step) {
-            this->deliver(now);
-            this->send_full_reports(now);
+            this->reports.deliver(now);
+            this->reports.send_full(now);
             for (int i = 0; i < this->draw(0, 2 * this->options.requests_per_second / 200); ++i) {
                 this->accept(now);
             }
@@ -107,7 +106,7 @@
             prompt.segments.push_back({.id = id, .tokens = 100});
         }
         request.traits = dispatch::traits_of(&prompt);
-        auto& instance = this->known[request.instance];
+        auto& instance = this->reports.known[request.instance];
         this->result.sound += request.crashing != 0 ? 0 : 1;
         dispatch::update_causes(instance, now);
         if (dispatch::find_cause(instance, request.traits, request.team, now) != nullptr) {
@@ -140,10 +139,11 @@
                 this->count_crash(each.crashing, now);
                 this->crash(each.engine, now);
             } else {
-                this->report(each.instance,
-                             {},
-                             dispatch::record_start(this->known[each.instance], each.traits, now),
-                             now);
+                this->reports.report(
+                    each.instance,
+                    {},
+                    dispatch::record_start(this->reports.known[each.instance], each.traits, now),
+                    now);
             }
         }
     }
@@ -175,75 +175,23 @@
         ++state.start;
         state.back = now + 3s;
         for (const auto& each : cut) {
-            auto& instance = this->known[each.instance];
+            auto& instance = this->reports.known[each.instance];
             const dispatch::crash_suspect suspect{.endpoint = tag,
                                                   .team = each.team,
                                                   .traits =
                                                       dispatch::suspect_traits(instance, each.traits, now),
                                                   .crashed_at = now};
-            this->report(each.instance, {suspect}, dispatch::record_suspect(instance, suspect, now), now);
-        }
-    }
-
-    void report(std::size_t from,
-                const std::vector<dispatch::crash_suspect>& suspects,
-                const std::vector<std::uint64_t>& exonerated,
-                core::instant now)
-    {
-        peers::crash_findings findings;
-        for (const auto& each : suspects) {
-            findings.suspects.push_back(
-                {.endpoint = each.endpoint, .team = each.team, .traits = each.traits, .age_ms = 0});
-        }
-        for (const auto segment : exonerated) {
-            findings.exonerated.push_back({.trait = segment, .age_ms = 0});
-        }
-        if (!findings.empty()) {
-            this->send(from, findings, now);
-            this->send(from, findings, now);
-        }
-    }
-
-    /// Each instance names one of its causes twice a second.
-    void send_full_reports(core::instant now)
-    {
-        for (std::size_t from = 0; from < this->known.size(); ++from) {
-            const auto& causes = this->known[from].causes;
-            const auto turn = (now - start) / 500ms;
-            if (!causes.empty() && (now - start) % 500ms == 5ms * (from % 100)) {
-                const auto& cause = causes[static_cast<std::size_t>(turn) % causes.size()];
-                this->send(from, {.causes = {peers::to_entry(cause, now)}}, now);
-            }
-        }
-    }
-
-    void send(std::size_t from, const peers::crash_findings& findings, core::instant now)
-    {
-        const auto longest = static_cast<int>(this->options.report_delay / 1ms);
-        for (std::size_t to = 0; to < this->known.size(); ++to) {
-            if (to != from && !this->chance(this->options.loss)) {
-                this->reports.emplace(now + milliseconds{this->draw(5, longest)},
-                                      report_under_way{.to = to, .findings = findings});
-            }
-        }
-    }
-
-    void deliver(core::instant now)
-    {
-        while (!this->reports.empty() && this->reports.begin()->first <= now) {
-            const auto report = this->reports.extract(this->reports.begin()).mapped();
-            const auto exonerated = peers::apply(this->known[report.to], report.findings, now);
-            this->report(report.to, {}, exonerated, now);
+            this->reports.report(
+                each.instance, {suspect}, dispatch::record_suspect(instance, suspect, now), now);
         }
     }
 
     using milliseconds = std::chrono::milliseconds;
     played_load options;
     std::mt19937 random;
-    std::vector<crash_attribution> known;
+    testing::played_reports reports;
     std::vector<engine_state> engines;
     std::vector<sent_request> waiting;
-    std::multimap<core::instant, report_under_way> reports;
     std::uint64_t last_own = 1000000;
     std::map<std::uint64_t, std::vector<core::instant>> crash_times; ///< By crashing segment.
     outcome result;
