Derive the causes of crashes once instead of anew after each cause

Cause: derive_causes() collected the traits of all suspects again for each cause that it found, and made a candidate of each trait, also of those that the same suspects have. Up to 128 causes, each with all traits of up to 1024 suspects.

Change: traits that the same suspects have make one candidate; when a cause is found, only candidates with suspects of the crashes that it explains are derived again. Removing crashes cannot raise a count of separate ones, so none is missed. Whether a candidate is ambiguous is looked at only if it weighs more than the worst one so far.

--- a/src/dispatch/crash_causes.cpp
+++ b/src/dispatch/crash_causes.cpp
@@ -63,15 +63,36 @@
     return cause;
 }
 
-/// A trait with the cause that its suspects have in common.
+/// The cause that suspects have in common, found by a trait that exactly these have.
 struct candidate {
     std::uint64_t trait = 0;
-    crash_cause cause;
-    std::set<endpoint_tag> endpoints{};
-    bool answer_begun = false; ///< Whether that of any of the suspects had.
+    std::vector<const open_suspect*> suspects;
+    crash_cause cause{};
+    std::vector<endpoint_tag> endpoints{}; ///< Sorted.
+    bool answer_begun = false;             ///< Whether that of any of the suspects had.
 };
 
-/// The traits of separate crashes that are enough to establish a cause.
+/// Derives a candidate's members from its suspects. Without any it has no crashes.
+void update_candidate(candidate& each)
+{
+    each.cause = each.suspects.empty() ? crash_cause{} : common_cause(each.suspects);
+    each.endpoints.clear();
+    each.answer_begun = false;
+    for (const auto* suspect : each.suspects) {
+        each.endpoints.push_back(suspect->suspect->endpoint);
+        each.answer_begun = each.answer_begun || suspect->suspect->answer_begun;
+    }
+    std::sort(each.endpoints.begin(), each.endpoints.end());
+    each.endpoints.erase(std::unique(each.endpoints.begin(), each.endpoints.end()), each.endpoints.end());
+}
+
+bool is_established(const candidate& each)
+{
+    return each.cause.crashes >= min_crashes;
+}
+
+/// The causes of separate crashes that are enough to establish them. Traits that the same suspects have in
+/// common make one candidate.
 std::vector<candidate> find_candidates(const open_suspects& open)
 {
     std::vector<std::pair<std::uint64_t, const open_suspect*>> entries;
@@ -82,34 +103,29 @@
     }
     std::sort(entries.begin(), entries.end());
     std::vector<candidate> candidates;
-    std::vector<const open_suspect*> suspects;
+    std::set<std::vector<const open_suspect*>> known;
     for (auto position = entries.begin(); position != entries.end();) {
-        const auto trait = position->first;
-        suspects.clear();
-        for (; position != entries.end() && position->first == trait; ++position) {
-            suspects.push_back(position->second);
+        candidate added{.trait = position->first, .suspects = {}};
+        for (; position != entries.end() && position->first == added.trait; ++position) {
+            added.suspects.push_back(position->second);
         }
-        if (suspects.size() < min_crashes) {
+        if (added.suspects.size() < min_crashes || !known.insert(added.suspects).second) {
             continue;
         }
-        candidate added{.trait = trait, .cause = common_cause(suspects)};
-        for (const auto* each : suspects) {
-            added.endpoints.insert(each->suspect->endpoint);
-            added.answer_begun = added.answer_begun || each->suspect->answer_begun;
-        }
-        if (added.cause.crashes >= min_crashes) {
+        update_candidate(added);
+        if (is_established(added)) {
             candidates.push_back(std::move(added));
         }
     }
     return candidates;
 }
 
-using candidates_by_endpoint = std::unordered_map<endpoint_tag, std::vector<const candidate*>>;
+using candidates_by_endpoint = std::unordered_map<endpoint_tag, std::vector<candidate*>>;
 
-candidates_by_endpoint index_by_endpoint(std::span<const candidate> candidates)
+candidates_by_endpoint index_by_endpoint(std::span<candidate> candidates)
 {
     candidates_by_endpoint index;
-    for (const auto& each : candidates) {
+    for (auto& each : candidates) {
         for (const auto endpoint : each.endpoints) {
             index[endpoint].push_back(&each);
         }
@@ -126,24 +142,40 @@
            std::any_of(each.endpoints.begin(), each.endpoints.end(), [&](endpoint_tag endpoint) {
                const auto& others = index.at(endpoint);
                return std::any_of(others.begin(), others.end(), [&](const candidate* other) {
-                   return (each.answer_begun || !other->answer_begun) &&
+                   return is_established(*other) && (each.answer_begun || !other->answer_begun) &&
                           !std::binary_search(traits.begin(), traits.end(), other->trait);
                });
            });
 }
 
-/// Removes the suspects of all crashes that a cause explains.
-void remove_explained(open_suspects& open, const crash_cause& cause)
+/// The candidate with the most crashes that is not ambiguous; null if there is none.
+const candidate* find_worst(std::span<const candidate> candidates, const candidates_by_endpoint& index)
 {
-    std::vector<endpoint_tag> explained;
-    for (const auto& each : open) {
-        if (contains_all(each.traits, cause.traits)) {
-            explained.push_back(each.suspect->endpoint);
+    const candidate* worst = nullptr;
+    const auto weight = [](const candidate& of) {
+        return std::pair{of.cause.crashes, of.cause.traits.size()};
+    };
+    for (const auto& each : candidates) {
+        if (is_established(each) && (worst == nullptr || weight(*worst) < weight(each)) &&
+            !is_ambiguous(each, index)) {
+            worst = &each;
         }
     }
-    std::erase_if(open, [&](const open_suspect& each) {
-        return std::find(explained.begin(), explained.end(), each.suspect->endpoint) != explained.end();
-    });
+    return worst;
+}
+
+/// Removes the suspects of crashes that a cause explains from all candidates.
+void remove_explained(std::span<const endpoint_tag> explained, candidates_by_endpoint& index)
+{
+    for (const auto endpoint : explained) {
+        for (auto* each : index.at(endpoint)) {
+            std::erase_if(each->suspects, [&](const open_suspect* suspect) {
+                return suspect->suspect->endpoint == endpoint;
+            });
+            update_candidate(*each);
+        }
+        index.erase(endpoint);
+    }
 }
 
 } // namespace
@@ -189,24 +221,17 @@
     for (const auto& each : state.suspects) {
         open.push_back({.suspect = &each, .traits = remaining_traits(state, each)});
     }
+    auto candidates = find_candidates(open);
+    auto index = index_by_endpoint(candidates);
     std::vector<crash_cause> causes;
     while (causes.size() < max_causes) {
-        const auto candidates = find_candidates(open);
-        const auto index = index_by_endpoint(candidates);
-        const candidate* worst = nullptr;
-        for (const auto& each : candidates) {
-            const auto weight = [](const candidate& of) {
-                return std::pair{of.cause.crashes, of.cause.traits.size()};
-            };
-            if (!is_ambiguous(each, index) && (worst == nullptr || weight(*worst) < weight(each))) {
-                worst = &each;
-            }
-        }
+        const auto* worst = find_worst(candidates, index);
         if (worst == nullptr) {
             break;
         }
-        remove_explained(open, worst->cause);
         causes.push_back(worst->cause);
+        const auto explained = worst->endpoints;
+        remove_explained(explained, index);
     }
     return causes;
 }
