Name the arrival of a request with its suspects

Cause: the decision counts crashes of one arrival as one since, but the relay did not say which suspects are of one.

Change: a suspect carries a digest of the instance and of the ticket of the request's first attempt. The caller's id does not serve: a caller that sends one id again and again would never be found.

Evidence: a_sound_request_that_was_repeated_into_a_second_crash_is_served_when_it_comes_again failed before, with 503 in place of 200.

--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -5,6 +5,7 @@
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <xxhash.h>
 
 #include <algorithm>
 #include <utility>
@@ -55,6 +56,14 @@
                          .with("hold_ms", cause.hold.count() / 1000));
 }
 
+/// Tells the request from others at any instance. Callers may send an id again, so that it does not serve
+/// here.
+std::uint32_t arrival_of(const request_state& state)
+{
+    const auto instance = state.server.options.instance.view();
+    return static_cast<std::uint32_t>(XXH64(instance.data(), instance.size(), state.first_ticket));
+}
+
 void record_crash(relay_server& server,
                   dispatch::endpoint_tag tag,
                   const std::vector<dispatch::crash_suspect>& suspects)
@@ -135,7 +144,8 @@
                         .team = state.team_tag,
                         .traits = dispatch::suspect_traits(server.fleet.crashes, traits, now),
                         .crashed_at = now,
-                        .answer_begun = answer_begun});
+                        .answer_begun = answer_begun,
+                        .arrival = arrival_of(state)});
     if (!is_checked) {
         asio::co_spawn(server.loop.context(),
                        confirm_crash(server, endpoint.tag, endpoint.entry.address, endpoint.entry.id.str()),
@@ -147,6 +157,7 @@
 {
     auto& server = state.server;
     server.crashes->waiting[ticket] = &state;
+    state.first_ticket = state.first_ticket == 0 ? ticket : state.first_ticket;
     if (server.fleet.crashes.causes.empty()) {
         return;
     }
--- a/tests/relay/crashing_request_test.cpp
+++ b/tests/relay/crashing_request_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <string>
 #include <thread>
 
@@ -182,6 +183,25 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_sound_request_that_was_repeated_into_a_second_crash_is_served_when_it_comes_again)
+{
+    std::atomic<int> crashes{0};
+    const auto crash_twice = [&crashes](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            if (crashes++ < 2) {
+                std::this_thread::sleep_for(between_crashes);
+                connection.crash_endpoint();
+                return;
+            }
+            connection.write(signed_answer(request->id, "done"));
+        }
+    };
+    relay_fixture fixture{std::vector<scripted_endpoint::script>(4, crash_twice),
+                          route_of(route_kind::idempotent, 2)};
+    BOOST_TEST(fixture.ask(get_request("1", "/x/page")).starts_with("HTTP/1.1 502"));
+    BOOST_TEST(fixture.ask(get_request("2", "/x/page")).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(no_digest_is_computed_while_no_endpoint_has_crashed)
 {
     relay_fixture fixture{std::vector<scripted_endpoint::script>(2, serve_or_crash),
