Do not pass on a body that a second answer has filled up

Read while the report of a piece that is not of the request was looked into: a signed 200 whose body is the start of the endpoint's answer, then a whole second answer, cut at the length that the first one gave. A refusal filled up by an answer in the same way was told as not run, and the request ran twice.

Cause: only bodies without a length were searched for a further response to the request; with a length, the bytes behind the body of a refusal alone.

Evidence: an_answer_with_a_length_that_is_filled_up_by_a_second_answer_is_not_passed_on_as_whole failed at each of 20 cuts, and a_refusal_with_a_length_that_is_filled_up_by_an_answer_is_not_told_as_not_run: 503, two endpoints reached.

Change: each body is searched, together with the bytes received behind it. A head that begins inside the body and names the request makes the answer garbled; one that begins behind it is a second answer to a whole one, as before. A body in chunks cannot be filled up, since no chunk begins so.

Result: the two tests and all others of the relay pass. A second head that is cut off by the end of the body is not seen if its rest was not read yet.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -112,13 +112,24 @@
     return result;
 }
 
-/// The bytes in which a further response may stand: behind the response, or inside one without a length.
-std::string_view
-further_bytes(const endpoint_connection& connection, const buffered_parser& parser, std::string_view body)
+/// Looks for a further response to the request: anywhere after the head of a refusal, in the body of another
+/// response.
+further_response search_buffered(const request_state& state,
+                                 const endpoint_connection& connection,
+                                 const buffered_parser& parser,
+                                 bool is_refusal)
 {
+    const std::string_view body = parser.get().body();
     const auto received = connection.buffer.cdata();
-    return parser.need_eof() ? body
-                             : std::string_view{static_cast<const char*>(received.data()), received.size()};
+    std::string joined;
+    if (received.size() > 0) {
+        joined = body;
+        joined.append(static_cast<const char*>(received.data()), received.size());
+    }
+    return find_further_response(received.size() > 0 ? std::string_view{joined} : body,
+                                 state.server.http_dialect,
+                                 {.request_id = state.metadata.id,
+                                  .starts_before = is_refusal ? std::string_view::npos : body.size()});
 }
 
 asio::awaitable<attempt_result> relay_buffered(request_state& state,
@@ -140,23 +151,22 @@
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
-    buffered_response answer{.status = parser.get().result_int(),
-                             .head = response_fields(parser.get()),
-                             .body = std::move(parser.get().body())};
-    const auto further = find_further_response(
-        further_bytes(*connection, parser, answer.body), state.server.http_dialect, state.metadata.id);
+    const auto further = search_buffered(state, *connection, parser, metadata.not_run);
     if (metadata.not_run && further == further_response::answer) {
         connection->close();
         co_return failed(
             verdict::may_have_run(failure::garbled_answer, "an answer to the request follows its refusal"),
             request_outcome::failed);
     }
-    if (!metadata.not_run && parser.need_eof() && further != further_response::none) {
+    if (!metadata.not_run && further != further_response::none) {
+        connection->close();
         co_return failed(
-            verdict::may_have_run(failure::garbled_answer,
-                                  "a further response stands in the answer, which has no length"),
+            verdict::may_have_run(failure::garbled_answer, "a further response stands in the answer"),
             request_outcome::failed);
     }
+    buffered_response answer{.status = parser.get().result_int(),
+                             .head = response_fields(parser.get()),
+                             .body = std::move(parser.get().body())};
     const bool success = answer.status >= 200 && answer.status < 300;
     if (!success || !metadata.is_signed || metadata.request_id.empty()) {
         co_return classify_failure(metadata, std::move(answer));
--- a/src/relay/further_response.cpp
+++ b/src/relay/further_response.cpp
@@ -16,12 +16,12 @@
 } // namespace
 
 further_response
-find_further_response(std::string_view bytes, const dialect& http_dialect, std::string_view request_id)
+find_further_response(std::string_view bytes, const dialect& http_dialect, const response_search& search)
 {
     constexpr std::string_view start = "HTTP/1.";
     auto found = further_response::none;
     auto position = bytes.find(start);
-    for (int tried = 0; tried < max_positions && position != std::string_view::npos; ++tried) {
+    for (int tried = 0; tried < max_positions && position < search.starts_before; ++tried) {
         const auto rest = bytes.substr(position);
         http::response_parser<http::empty_body> parser;
         parser.skip(true);
@@ -29,7 +29,7 @@
         parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
         if (!error && parser.is_header_done()) {
             const auto metadata = http_dialect.read_response(parser.get());
-            if (metadata.request_id == request_id) {
+            if (metadata.request_id == search.request_id) {
                 if (!metadata.not_run) {
                     return further_response::answer;
                 }
--- a/tests/relay/second_answer_test.cpp
+++ b/tests/relay/second_answer_test.cpp
@@ -239,6 +239,37 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_with_a_length_that_is_filled_up_by_a_second_answer_is_not_passed_on_as_whole)
+{
+    const std::string own(600, 'a');
+    const auto whole = signed_answer("1", own);
+    const auto head_size = whole.size() - own.size();
+    // The head of the second answer stands inside the body, or over its end.
+    for (std::size_t cut = 0; cut < own.size(); cut += cut < 500 ? 100 : 7) {
+        const auto stuttering = [&](endpoint_connection& connection) {
+            (void)connection.read_request();
+            connection.write(whole.substr(0, head_size + cut) + whole);
+        };
+        relay_fixture fixture{{stuttering}};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), "cut at " << cut << ": " << answer);
+        BOOST_TEST(fixture.received().size() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refusal_with_a_length_that_is_filled_up_by_an_answer_is_not_told_as_not_run)
+{
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-Request-Id: 1\r\nContent-Length: 100\r\n\r\nbusy";
+    const auto running = [&](endpoint_connection& connection) {
+        (void)connection.read_request();
+        connection.write(refusal + signed_answer("1", std::string(200, 'a')));
+    };
+    relay_fixture fixture{{running, running}};
+    BOOST_TEST(fixture.ask(request_bytes("1")).starts_with("HTTP/1.1 502"));
+    BOOST_TEST(fixture.received().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_a_length_may_hold_any_other_text)
 {
     for (const auto& body : {signed_answer("0", "of another request"),
