Do not pass on the second answer to an earlier request inside a later answer

Read while the report of a piece that is not of the request was looked into: on a kept connection, a signed 200 without a length that ended with the whole second answer to the request before it, or one with a length that had it in the midst and lacked as many bytes of its own.

Cause: heads that name another request counted for nothing, since bodies may hold any text. That holds for a connection that has carried no other request; on a reused one such a head may be a second answer.

Evidence: an_answer_without_a_length_does_not_take_in_the_second_answer_to_an_earlier_request failed for both forms of second answer, and a_second_answer_that_comes_while_the_next_one_is_half_read_is_not_passed_on_in_it at each of four cuts.

Change: on a reused connection, a head that names any request counts where the end of the body is in doubt: no length, or bytes behind the body that nobody asked for. Considered and not done: to count it in every body, which would refuse texts that hold answers depending on whether the connection was reused (an_answer_with_a_length_may_hold_any_other_text).

Result: the tests and all others of the relay pass. A second answer in the midst of one with a length is not seen if what it pushes out was not read yet.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -114,6 +114,8 @@
 
 /// Looks for a further response to the request: anywhere after the head of a refusal, in the body of another
 /// response.
+/// @remarks A reused connection may also bring a second answer to an earlier request. Since bodies may hold
+/// any text, it is looked for only if the end of the body is in doubt.
 further_response search_buffered(const request_state& state,
                                  const endpoint_connection& connection,
                                  const buffered_parser& parser,
@@ -126,9 +128,11 @@
         joined = body;
         joined.append(static_cast<const char*>(received.data()), received.size());
     }
+    const bool end_in_doubt = parser.need_eof() || received.size() > 0;
     return find_further_response(received.size() > 0 ? std::string_view{joined} : body,
                                  state.server.http_dialect,
                                  {.request_id = state.metadata.id,
+                                  .any_request = !is_refusal && connection.reused && end_in_doubt,
                                   .starts_before = is_refusal ? std::string_view::npos : body.size()});
 }
 
--- a/src/relay/further_response.cpp
+++ b/src/relay/further_response.cpp
@@ -29,7 +29,8 @@
         parser.put(boost::asio::buffer(rest.data(), rest.size()), error);
         if (!error && parser.is_header_done()) {
             const auto metadata = http_dialect.read_response(parser.get());
-            if (metadata.request_id == search.request_id) {
+            if (metadata.request_id == search.request_id ||
+                (search.any_request && !metadata.request_id.empty())) {
                 if (!metadata.not_run) {
                     return further_response::answer;
                 }
--- a/tests/relay/second_answer_test.cpp
+++ b/tests/relay/second_answer_test.cpp
@@ -22,6 +22,13 @@
     return text.find(substring) != std::string::npos;
 }
 
+/// An answer whose end is the end of its connection.
+std::string unframed_answer(std::string_view id, std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nX-Signature: s\r\nX-Request-Id: " + std::string{id} + "\r\n\r\n" +
+           std::string{body};
+}
+
 std::string unframed_stream(std::string_view id, std::string_view events)
 {
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Signature: s\r\nX-Request-Id: " +
@@ -305,6 +312,53 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_does_not_take_in_the_second_answer_to_an_earlier_request)
+{
+    for (const auto& second : {signed_answer("1", "late"), unframed_answer("1", "late")}) {
+        const auto late = [&](endpoint_connection& connection) {
+            while (const auto request = connection.read_request()) {
+                if (request->id == "1" || request->id == "2") {
+                    connection.write(signed_answer(request->id, "own"));
+                    continue;
+                }
+                connection.write(unframed_answer(request->id, "right"));
+                std::this_thread::sleep_for(2ms);
+                connection.write(second);
+                connection.shut();
+                return;
+            }
+        };
+        relay_fixture fixture{{late}, route_of(route_kind::idempotent)};
+        BOOST_TEST(fixture.ask(request_bytes("1")).ends_with("\r\n\r\nown"));
+        BOOST_TEST(fixture.ask(request_bytes("2")).ends_with("\r\n\r\nown"));
+        const auto answer = fixture.ask(request_bytes("3"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), answer);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_second_answer_that_comes_while_the_next_one_is_half_read_is_not_passed_on_in_it)
+{
+    const std::string own(600, 'a');
+    const auto whole = signed_answer("2", own);
+    const auto head_size = whole.size() - own.size();
+    for (const std::size_t cut : {0U, 300U, 560U, 599U}) {
+        const auto interleaving = [&](endpoint_connection& connection) {
+            while (const auto request = connection.read_request()) {
+                if (request->id == "1") {
+                    connection.write(signed_answer("1", "own"));
+                    continue;
+                }
+                connection.write(whole.substr(0, head_size + cut) + signed_answer("1", "late") +
+                                 whole.substr(head_size + cut));
+            }
+        };
+        relay_fixture fixture{{interleaving}, route_of(route_kind::idempotent)};
+        BOOST_TEST(fixture.ask(request_bytes("1")).ends_with("\r\n\r\nown"));
+        const auto answer = fixture.ask(request_bytes("2"));
+        BOOST_TEST(answer.starts_with("HTTP/1.1 502"), "cut at " << cut << ": " << answer);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stream_without_a_length_does_not_take_in_the_second_answer_to_an_earlier_request)
 {
     for (const auto& second : {whole_stream("1", 1, 7), unframed_stream("1", event_text(4, 7))}) {
