Do not take an interim answer for the answer

What callers of the project's own interface saw: an endpoint that wrote "100 Continue" before its answer, in a segment of its own, had it passed on as the answer: status 100, no body, verdict "ran". If its connection then ended, the request was told as run although it may not have. With both in one segment, callers got 502 for an answer that was whole.

Cause: endpoint_exchange took the first head for that of the answer; Beast counts an interim response as whole with its head.

--- a/src/traffic/endpoint_exchange.cpp
+++ b/src/traffic/endpoint_exchange.cpp
@@ -16,6 +16,9 @@
 namespace
 {
 
+/// Interim responses (1xx) that may precede a response.
+constexpr int max_interim_responses = 8;
+
 /// Whether an error says that bytes arrived which do not follow the protocol.
 bool is_protocol_error(const beast::error_code& error)
 {
@@ -57,9 +60,14 @@
         return written == 0 ? verdict::not_run(failure::connection_broken, detail)
                             : verdict::may_have_run(failure::connection_broken, detail);
     }
+    this->expect_head();
+    return verdict::ran();
+}
+
+void endpoint_exchange::expect_head()
+{
     this->parser.emplace();
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    return verdict::ran();
 }
 
 answer_progress endpoint_exchange::advance()
@@ -85,7 +93,7 @@
     return std::exchange(this->held_piece, std::nullopt);
 }
 
-/// Reads up to the end of the head, as far as it has arrived.
+/// Reads up to the end of the head, as far as it has arrived. Drops interim responses that precede it.
 answer_progress endpoint_exchange::read_head()
 {
     while (!this->parser->is_header_done()) {
@@ -99,6 +107,13 @@
                 return progress;
             }
         }
+        if (this->parser->is_header_done() && this->head().result_int() / 100 == 1) {
+            if (++this->interim_responses > max_interim_responses) {
+                return this->fail(verdict::may_have_run(
+                    failure::garbled_answer, core::to_string(this->target) + ": too many interim responses"));
+            }
+            this->expect_head();
+        }
     }
     this->head_read = true;
     return this->check_head() ? answer_progress::begun : answer_progress::failed;
--- a/src/traffic/endpoint_exchange.hpp
+++ b/src/traffic/endpoint_exchange.hpp
@@ -83,6 +83,7 @@
     using parser_type = http::response_parser<http::buffer_body>;
 
     [[nodiscard]] core::verdict describe(const beast::error_code& error) const;
+    void expect_head();
     [[nodiscard]] bool check_head();
     [[nodiscard]] bool check_end();
     answer_progress fail(core::verdict reason);
@@ -95,6 +96,7 @@
     std::string request_id;
     std::unique_ptr<http_socket> socket;
     std::optional<parser_type> parser;
+    int interim_responses = 0;
     bool kept = false;
     bool received = false;
     bool head_read = false;
--- a/tests/traffic/truncated_head_test.cpp
+++ b/tests/traffic/truncated_head_test.cpp
@@ -201,6 +201,48 @@
     check_each_cut(cut_fleet{[&](const received_request&) { return refusal; }}, 0, refusal.size());
 }
 
+BOOST_AUTO_TEST_CASE(an_interim_answer_or_a_head_behind_it_that_breaks_off_is_no_answer)
+{
+    const auto head = [](const received_request& request) {
+        return interim_answer + plain_head(request, framing::length);
+    };
+    check_each_cut(cut_fleet{head}, 0, head(sample_request()).size() + 1);
+}
+
+BOOST_AUTO_TEST_CASE(an_interim_answer_is_not_taken_for_the_answer)
+{
+    for (const bool apart : {false, true}) {
+        scripted_endpoint engine{[apart](endpoint_connection& connection) {
+            if (const auto request = connection.read_request()) {
+                connection.write(interim_answer);
+                std::this_thread::sleep_for(std::chrono::milliseconds{apart ? 20 : 0});
+                connection.write(plain_answer(*request, framing::length));
+            }
+        }};
+        test_fleet fleet;
+        fleet.add_endpoint("e1", "booking", engine.address());
+        fleet.start();
+        const auto answer = fleet.call(booking());
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(answer.body == "ok");
+        BOOST_TEST(answer.verdict() == "ran");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_endless_row_of_interim_answers_ends_in_a_failure)
+{
+    scripted_endpoint engine{[](endpoint_connection& connection) {
+        if (connection.read_request()) {
+            while (connection.try_write(interim_answer)) {
+            }
+        }
+    }};
+    test_fleet fleet;
+    fleet.add_endpoint("e1", "booking", engine.address());
+    fleet.start();
+    check_not_answered(fleet.call(booking()));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_may_repeat_is_answered_whole_elsewhere_after_a_head_that_breaks_off)
 {
     for (const bool streamed : {false, true}) {
