Do not believe a head that another head continues

What callers can see: an endpoint breaks off inside a head and writes its answer on the same connection. A refusal cut inside a field ("X-Not-Run: 1" or a later one) and followed by the 200 to a request that must not repeat was read as a refusal of it: the request was sent to a second endpoint, or answered 503 as not run. Cut inside its reason, the first status came with the signature, id and body of the second: a signed 503 or 500 for an answer that was a 200, and a signed 200 for one that was a 500. The project's own interface did the same.

Cause: the first line of the second answer is a legal end of a reason or of a field's value, so that both are one head to a parser. The status is that of the first, the id that of the second.

Evidence: a_head_that_another_head_continues_is_not_taken_for_either cuts four heads at each byte.

Change: a head with a status line in its reason or in a field's value is malformed, and the attempt may have run. Field names and line starts need no check, since the slash is no legal part of a name. Weighed: to refuse two ids or two signatures in one head; a cut before the first id leaves only one. "HTTP/1.1" without a status behind it, as in Via, is passed on as before.

What cannot be told: a head that goes on with the rest of another one in which no status line is left.

--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -113,6 +113,7 @@
 #include "hibiscusfall/traffic/endpoint_rests.hpp"
 #include "hibiscusfall/traffic/event_scanner.hpp"
 #include "hibiscusfall/traffic/hedge_policy.hpp"
+#include "hibiscusfall/traffic/joined_head.hpp"
 #include "hibiscusfall/traffic/request_budget.hpp"
 #include "hibiscusfall/traffic/retry_policy.hpp"
 #include "hibiscusfall/traffic/stream_progress.hpp"
--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_answer.hpp"
 
+#include "hibiscusfall/traffic/joined_head.hpp"
+
 #include <array>
 
 #include <boost/asio/redirect_error.hpp>
@@ -114,6 +116,9 @@
         if (end != read_result::complete) {
             co_return end;
         }
+        if (traffic::is_joined_head(result->get())) {
+            co_return read_result::malformed;
+        }
         if (result->get().result_int() / 100 == 1) {
             ++interim;
             continue;
--- a/src/traffic/endpoint_exchange.cpp
+++ b/src/traffic/endpoint_exchange.cpp
@@ -3,6 +3,7 @@
 #include "request_reading.hpp"
 
 #include "hibiscusfall/traffic/endpoint_rests.hpp"
+#include "hibiscusfall/traffic/joined_head.hpp"
 
 #include <limits>
 #include <utility>
@@ -107,7 +108,8 @@
                 return progress;
             }
         }
-        if (this->parser->is_header_done() && this->head().result_int() / 100 == 1) {
+        const bool interim = this->parser->is_header_done() && this->head().result_int() / 100 == 1;
+        if (interim && !is_joined_head(this->head())) {
             if (++this->interim_responses > max_interim_responses) {
                 return this->fail(verdict::may_have_run(
                     failure::garbled_answer, core::to_string(this->target) + ": too many interim responses"));
@@ -180,6 +182,12 @@
 bool endpoint_exchange::check_head()
 {
     const auto& answer = this->head();
+    if (is_joined_head(answer)) {
+        this->fail(verdict::may_have_run(failure::garbled_answer,
+                                         core::to_string(this->target) +
+                                             ": the head of the answer holds that of another one"));
+        return false;
+    }
     const auto echoed = answer["X-Request-Id"];
     if (!echoed.empty() && echoed != beast::string_view{this->request_id}) {
         this->fail(verdict::may_have_run(failure::garbled_answer,
--- a/tests/relay/truncated_head_test.cpp
+++ b/tests/relay/truncated_head_test.cpp
@@ -430,4 +430,37 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_head_that_another_head_continues_is_not_taken_for_either)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-More: more\r\n\r\n";
+    const std::string failure = "HTTP/1.1 500 Fault\r\nX-More: more\r\n\r\n";
+    const std::string success = "HTTP/1.1 200 OK\r\nX-More: more\r\n\r\n";
+    for (const auto& first : {refusal, failure, success, interim_answer}) {
+        cut_fixture all{route_of(route_kind::non_idempotent)};
+        for (std::size_t cut = 1; cut < first.size(); ++cut) {
+            const auto id = all.next_id();
+            const auto second = signed_answer(id, "ran", first == success ? 500 : 200);
+            const auto received_before = all.received();
+            const auto got = all.ask(id, first.substr(0, cut) + second, request_bytes(id));
+            BOOST_TEST_CONTEXT("cut after " << cut << " bytes of " << first << ": " << got)
+            {
+                BOOST_TEST(got.starts_with("HTTP/1.1 502"));
+                BOOST_TEST(all.received() == received_before + 1);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_head_that_names_a_protocol_in_a_field_is_passed_on)
+{
+    for (const std::string field :
+         {"Via: HTTP/1.1 gateway", "Server: desk (HTTP/1.1)", "X-Text: 200 HTTP/1"}) {
+        cut_fixture all{route_of(route_kind::non_idempotent)};
+        const auto id = all.next_id();
+        auto text = signed_answer(id, "ran");
+        text.insert(text.find("X-Signature"), field + "\r\n");
+        BOOST_TEST(all.ask(id, text, request_bytes(id)).ends_with("\r\n\r\nran"));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/traffic/truncated_head_test.cpp
+++ b/tests/traffic/truncated_head_test.cpp
@@ -345,6 +345,41 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_head_that_another_head_continues_is_not_taken_for_either)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nX-Request-Run: no\r\nX-More: more\r\n\r\n";
+    const std::string failure = "HTTP/1.1 500 Fault\r\nX-More: more\r\n\r\n";
+    const std::string success = "HTTP/1.1 200 OK\r\nX-More: more\r\n\r\n";
+    for (const auto& first : {refusal, failure, success, interim_answer}) {
+        const auto text = [&](const received_request& request) {
+            auto second = plain_answer(request, framing::length);
+            if (first == success) {
+                second.replace(second.find("200 OK"), 6, "500 No");
+            }
+            return first.substr(0, cut_of(request).bytes) + second;
+        };
+        scripted_endpoint engine{[&text](endpoint_connection& connection) {
+            if (const auto request = connection.read_request()) {
+                connection.write(text(*request));
+            }
+        }};
+        scripted_endpoint second{[](endpoint_connection& connection) { connection.read_request(); }};
+        test_fleet fleet;
+        fleet.add_endpoint("e1", "booking", engine.address(), 64);
+        fleet.add_endpoint("e2", "booking", second.address(), 64);
+        fleet.start();
+        for (std::size_t cut = 1; cut < first.size(); ++cut) {
+            const auto answer = fleet.call(cut_booking({.bytes = cut}));
+            BOOST_TEST_CONTEXT("cut after " << cut << " bytes of " << first << ": " << answer.status << " "
+                                            << answer.body)
+            {
+                check_not_answered(answer);
+            }
+        }
+        BOOST_TEST(second.requests().empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_head_request_is_not_taken)
 {
     const cut_fleet all{[](const received_request& request) { return plain_head(request, framing::length); }};
