Do not pass on a body that another answer to the request continues

What callers can see: an endpoint breaks off inside a body that has a length or chunks and writes its answer once more on the connection. The bytes of the second answer, its head among them, filled the rest of the first body, and the caller got a signed 200, framed as whole, with a body that is not the endpoint's.

Cause: further responses were looked for inside a body only if it had no length.

Evidence: a_body_that_another_answer_to_the_request_continues_is_not_passed_on cuts a body of 200 bytes at each byte, with length and with chunks.

Change: any body is searched for the head of a response that names the request, also for one that starts in the body and goes on behind it, in the bytes received by then. A whole answer with another one behind it is passed on as before (a_whole_body_that_another_answer_follows_is_passed_on).

What cannot be told: a second answer that names another request or none, one whose head starts at the end of the body and has not arrived, and one that starts behind 64 texts that look like a head. A body that quotes the head of an answer to its own request ends in 502; that held already for bodies without a length.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -112,13 +112,19 @@
     return result;
 }
 
-/// The bytes in which a further response may stand: behind the response, or inside one without a length.
-std::string_view
-further_bytes(const endpoint_connection& connection, const buffered_parser& parser, std::string_view body)
+std::string_view received_bytes(const endpoint_connection& connection)
 {
     const auto received = connection.buffer.cdata();
-    return parser.need_eof() ? body
-                             : std::string_view{static_cast<const char*>(received.data()), received.size()};
+    return {static_cast<const char*>(received.data()), received.size()};
+}
+
+/// Finds a further response to the request that starts inside a body. Its head may go on behind the body.
+further_response
+find_response_inside(const std::string& body, std::string_view received, const request_state& state)
+{
+    const auto text = received.empty() ? std::string{} : body + std::string{received};
+    return find_further_response(
+        received.empty() ? body : text, state.server.http_dialect, state.metadata.id, body.size());
 }
 
 asio::awaitable<attempt_result> relay_buffered(request_state& state,
@@ -143,18 +149,19 @@
     buffered_response answer{.status = parser.get().result_int(),
                              .head = response_fields(parser.get()),
                              .body = std::move(parser.get().body())};
-    const auto further = find_further_response(
-        further_bytes(*connection, parser, answer.body), state.server.http_dialect, state.metadata.id);
-    if (metadata.not_run && further == further_response::answer) {
+    const auto received = received_bytes(*connection);
+    const auto inside = find_response_inside(answer.body, received, state);
+    const auto behind = find_further_response(received, state.server.http_dialect, state.metadata.id);
+    if (metadata.not_run && (inside == further_response::answer || behind == further_response::answer)) {
         connection->close();
         co_return failed(
             verdict::may_have_run(failure::garbled_answer, "an answer to the request follows its refusal"),
             request_outcome::failed);
     }
-    if (!metadata.not_run && parser.need_eof() && further != further_response::none) {
+    if (!metadata.not_run && inside != further_response::none) {
+        connection->close();
         co_return failed(
-            verdict::may_have_run(failure::garbled_answer,
-                                  "a further response stands in the answer, which has no length"),
+            verdict::may_have_run(failure::garbled_answer, "a further response stands in the answer"),
             request_outcome::failed);
     }
     const bool success = answer.status >= 200 && answer.status < 300;
--- a/src/relay/further_response.cpp
+++ b/src/relay/further_response.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <algorithm>
+
 namespace hibiscusfall::relay::detail
 {
 
@@ -15,13 +17,15 @@
 
 } // namespace
 
-further_response
-find_further_response(std::string_view bytes, const dialect& http_dialect, std::string_view request_id)
+further_response find_further_response(std::string_view bytes,
+                                       const dialect& http_dialect,
+                                       std::string_view request_id,
+                                       std::size_t starts_before)
 {
     constexpr std::string_view start = "HTTP/1.";
     auto found = further_response::none;
     auto position = bytes.find(start);
-    for (int tried = 0; tried < max_positions && position != std::string_view::npos; ++tried) {
+    for (int tried = 0; tried < max_positions && position < std::min(starts_before, bytes.size()); ++tried) {
         const auto rest = bytes.substr(position);
         http::response_parser<http::empty_body> parser;
         parser.skip(true);
--- a/tests/relay/truncated_head_test.cpp
+++ b/tests/relay/truncated_head_test.cpp
@@ -463,4 +463,58 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_body_that_another_answer_to_the_request_continues_is_not_passed_on)
+{
+    const std::string body(200, 'x');
+    for (const auto kind : {framing::length, framing::chunks}) {
+        cut_fixture all{route_of(route_kind::non_idempotent)};
+        for (std::size_t cut = 0; cut < body.size(); ++cut) {
+            const auto id = all.next_id();
+            const auto second = body.substr(0, cut) + signed_answer(id, body);
+            const auto first = second.substr(0, body.size());
+            const auto rest = second.substr(body.size());
+            const auto text = kind == framing::length
+                                  ? answer_head(id, kind, body.size()) + first + rest
+                                  : answer_head(id, kind, 0) + chunk(first) + last_chunk + rest;
+            const auto got = all.ask(id, text, request_bytes(id));
+            BOOST_TEST(got.starts_with("HTTP/1.1 502"), "cut after " << cut << " bytes: " << got);
+            BOOST_TEST(all.received() == all.asked());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_body_that_another_answer_follows_is_passed_on)
+{
+    const std::string body(200, 'x');
+    cut_fixture all{route_of(route_kind::non_idempotent)};
+    for (const auto kind : {framing::length, framing::chunks}) {
+        const auto id = all.next_id();
+        const auto text = answer_head(id, kind, body.size()) +
+                          (kind == framing::length ? body : chunk(body) + last_chunk) +
+                          signed_answer(id, body);
+        BOOST_TEST(all.ask(id, text, request_bytes(id)).ends_with("\r\n\r\n" + body));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_another_answer_to_the_request_continues_does_not_look_whole)
+{
+    const auto events = numbered_event(1) + numbered_event(2) + numbered_event(3);
+    for (const auto& further : {signed_answer(sample_id, "failed", 500),
+                                signed_stream_head(sample_id) + event_chunks(1, 4) + last_chunk}) {
+        for (std::size_t cut = 0; cut < events.size(); ++cut) {
+            cut_fixture all{route_of(route_kind::stream)};
+            const auto id = all.next_id();
+            const auto text = events.substr(0, cut) + further;
+            const auto got =
+                all.ask(id, signed_stream_head(id) + chunk(text) + last_chunk, request_bytes(id));
+            BOOST_TEST_CONTEXT("cut after " << cut << " bytes: " << got)
+            {
+                BOOST_TEST(!got.ends_with(last_chunk));
+                BOOST_TEST(count(got, "HTTP/1.1") == 1U);
+                BOOST_TEST(count(got, "id: 1\n") <= 1U);
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
