--- a/tests/traffic/truncated_head_test.cpp
+++ b/tests/traffic/truncated_head_test.cpp
@@ -380,6 +380,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_body_that_another_answer_continues_is_not_passed_on)
+{
+    const std::string body(100, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 100\r\n\r\n";
+    scripted_endpoint engine{[&](endpoint_connection& connection) {
+        if (const auto request = connection.read_request()) {
+            connection.write(head + body.substr(0, cut_of(*request).bytes) + head + body);
+        }
+    }};
+    test_fleet fleet;
+    fleet.add_endpoint("e1", "booking", engine.address(), 64);
+    fleet.start();
+    for (std::size_t cut = 0; cut < body.size(); ++cut) {
+        const auto answer = fleet.call(cut_booking({.bytes = cut}));
+        BOOST_TEST_CONTEXT("cut after " << cut << " bytes: " << answer.status << " " << answer.body)
+        {
+            check_not_answered(answer);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_head_request_is_not_taken)
 {
     const cut_fleet all{[](const received_request& request) { return plain_head(request, framing::length); }};
