Answer every request before a stopping instance ends

What callers saw: at the end of a planned stop the process ended with requests in progress. Those without an answer (a stream still waiting at its engine, a call without a timeout, a request waiting for its connection, one whose body was still arriving) got a closed connection, which says nothing about whether they ran.

Cause: the forced end stopped the event loop; no request was told.

Evidence: on a_request_without_an_answer_at_the_end_is_told_that_it_may_have_run (three kinds of route), a_resumable_stream_that_has_not_begun_at_the_end_is_not_sent_once_more, a_request_that_waits_for_its_connection_at_the_end_is_told_that_it_did_not_run and a_request_whose_body_is_not_complete_at_the_end_is_told_that_it_did_not_run fail: nothing is received.

Change: the times of a stop are a struct with free functions (relay/shutdown_schedule), without clock or network. 250 ms before the kill, requests whose response has not begun are ended: 503 with Retry-After 20 ms if nothing was sent to an endpoint, else 502. An answer that has arrived is still read and delivered. The endpoint of an ended attempt is neither counted as failing nor suspected of a crash. The process ends 100 ms before the kill, so that a stream in progress has 150 ms more than before. Streams are accepted for 2.6 s or a third of the timeout, whichever is less; with 8 s nothing changes.

Why it is right: nothing is ended before the last sixth of the timeout. "Not run" is said only if no byte was sent to an endpoint, or if the endpoint itself refused the request as not run.

--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -82,6 +82,7 @@
 #include "hibiscusfall/relay/loop_load.hpp"
 #include "hibiscusfall/relay/relay_options.hpp"
 #include "hibiscusfall/relay/relay_server.hpp"
+#include "hibiscusfall/relay/shutdown_schedule.hpp"
 #include "hibiscusfall/rpc/call_tag.hpp"
 #include "hibiscusfall/rpc/fields.hpp"
 #include "hibiscusfall/rpc/rpc_client.hpp"
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -10,6 +10,7 @@
 #include "hibiscusfall/relay/event_loop.hpp"
 #include "hibiscusfall/relay/loop_load.hpp"
 #include "hibiscusfall/relay/relay_options.hpp"
+#include "hibiscusfall/relay/shutdown_schedule.hpp"
 #include "hibiscusfall/telemetry/latency_recorder.hpp"
 #include "hibiscusfall/telemetry/metrics_page.hpp"
 
@@ -18,6 +19,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -92,14 +94,11 @@
     /// @brief Puts changed causes of crashes into effect, after a peer has reported on them.
     void apply_cause_changes();
 
-    /// @brief Whether the shutdown of this instance may cut a stream that starts now.
-    [[nodiscard]] bool shutdown_may_cut_streams(core::instant now) const noexcept;
-
-    /// @brief Whether the shutdown of this instance may cut a request that can last until @p limit.
-    [[nodiscard]] bool may_end_before(core::instant limit) const noexcept;
+    /// @brief The planned stop in progress; nothing while there is none.
+    [[nodiscard]] std::optional<shutdown_schedule> current_shutdown() const noexcept;
 
     /// @brief Stops accepting callers. Calls back when all requests are answered, or shortly before the
-    /// timeout.
+    /// timeout. Requests that have no answer by then get a final one from this instance.
     void shut_down(std::function<void()> when_done);
 
     [[nodiscard]] bool ready() const noexcept;
@@ -136,6 +135,7 @@
     core::instant shutdown_started{};
 
 private:
+    void sweep_shutdown(core::instant now);
     void sweep(core::instant now);
     void record_lag(core::instant now);
     void accept_pending_connections();
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -81,6 +81,7 @@
         this->head_request = false;
         auto parser = std::make_unique<request_parser>();
         const auto end = co_await this->receive(*parser);
+        this->receiving = false;
         if (end == request_read_result::closed) {
             break;
         }
@@ -94,6 +95,7 @@
         this->keep_open = request.keep_alive();
         this->head_request = request.method() == http::verb::head;
         this->watch_for_disconnect();
+        this->response_begun = false;
         co_await handle_request(this->server, *this, request);
         this->stop_watching();
         this->connection.reset();
@@ -112,6 +114,8 @@
     parser.eager(true);
     this->expires = event_loop::now() + limits.header_timeout;
     bool asked_to_continue = false;
+    this->ended = false;
+    this->receiving = true;
     while (!parser.is_done()) {
         error_code error;
         if (this->buffer.size() > 0) {
@@ -146,7 +150,9 @@
             co_await this->socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
         this->buffer.commit(received);
         if (error) {
-            co_return this->timed_out ? request_read_result::timed_out : request_read_result::closed;
+            co_return this->ended ? request_read_result::shutting_down
+            : this->timed_out     ? request_read_result::timed_out
+                                  : request_read_result::closed;
         }
         if (parser.is_header_done()) {
             this->expires = event_loop::now() + limits.header_timeout;
@@ -169,11 +175,14 @@
     case request_read_result::timed_out:
         answer = {.status = 408, .code = "receive-timeout", .detail = "the request did not arrive in time"};
         break;
+    case request_read_result::shutting_down:
+        answer = shutdown_refusal();
+        break;
     default:
         answer = {.status = 400, .code = "malformed", .detail = "the request cannot be read"};
         break;
     }
-    ++this->server.counters.rejected;
+    ++(answer.status == 503 ? this->server.counters.refused : this->server.counters.rejected);
     this->timed_out = false;
     co_await send_refusal(this->server, *this, {}, answer);
 }
@@ -185,6 +194,7 @@
     }
     const std::array<asio::const_buffer, 2> pieces{asio::buffer(head.data(), head.size()),
                                                    asio::buffer(body.data(), body.size())};
+    this->response_begun = true;
     const auto before = this->expires;
     this->expires = event_loop::now() + write_timeout;
     error_code error;
@@ -258,17 +268,30 @@
     this->socket.cancel(ignored);
 }
 
-bool caller_session::idle(core::instant now) const noexcept
+bool caller_session::idle(core::instant now)
 {
     return this->waiting && now - this->waiting_since >= request_arrival_time;
 }
 
-void caller_session::close_if_idle(core::instant now)
+void caller_session::close_idle()
+{
+    this->keep_open = false;
+    error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+void caller_session::end_request()
 {
-    if (this->idle(now)) {
-        this->keep_open = false;
+    if (this->receiving) {
+        this->ended = true;
         error_code ignored;
         this->socket.cancel(ignored);
+        return;
+    }
+    // A response that has arrived is read first.
+    if (!this->response_begun && this->connection && !detail::has_unread_bytes(this->connection->socket)) {
+        this->ended = true;
+        this->connection->close();
     }
 }
 
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -24,7 +24,8 @@
     malformed,
     head_too_large,
     body_too_large,
-    timed_out
+    timed_out,
+    shutting_down ///< The instance ends before the request is complete.
 };
 
 /// @brief Connection of a caller. Reads requests one at a time and responds in order.
@@ -41,12 +42,19 @@
     /// @brief Cancels the current operation if its deadline has passed.
     void sweep(core::instant now);
 
-    /// @brief Closes the connection if it is idle.
-    void close_if_idle(core::instant now);
+    /// @brief Closes an idle connection.
+    void close_idle();
 
-    /// @brief Whether no request is in progress, nor one likely to arrive because the connection was just
-    /// opened or its last request just answered.
-    [[nodiscard]] bool idle(core::instant now) const noexcept;
+    /// @brief Whether no request is in progress or has arrived, nor is one likely to arrive because the
+    /// connection was just opened or its last request just answered.
+    [[nodiscard]] bool idle(core::instant now);
+
+    /// @brief Ends the request in progress, as the instance ends before it. One that is not complete is
+    /// refused; one whose response has not started gets a final response.
+    void end_request();
+
+    /// @brief Whether the request in progress was ended by @ref end_request.
+    [[nodiscard]] bool is_ended() const noexcept { return this->ended; }
 
     /// @name For the request in progress
     /// @brief Whether the caller has closed its connection.
@@ -97,6 +105,9 @@
     std::uint64_t watches = 0;
     bool waiting = true;
     core::instant waiting_since = event_loop::now();
+    bool receiving = false;      ///< Whether a request has arrived in part.
+    bool response_begun = false; ///< Whether bytes were sent to the caller since the request was complete.
+    bool ended = false;          ///< Whether the request was ended by the instance's shutdown.
     bool keep_open = true;
     bool head_request = false; ///< Of the request in progress.
     bool disconnected = false;
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -130,6 +130,12 @@
     }
 }
 
+bool has_unread_bytes(tcp::socket& socket) noexcept
+{
+    char byte = 0;
+    return socket.is_open() && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 asio::awaitable<error_code>
 connect(std::shared_ptr<endpoint_connection> link, core::address to, core::duration limit)
 {
--- a/src/relay/endpoint_connection.hpp
+++ b/src/relay/endpoint_connection.hpp
@@ -78,6 +78,9 @@
     std::uint64_t created = 0;
 };
 
+/// @brief Whether bytes have arrived that were not read yet.
+[[nodiscard]] bool has_unread_bytes(tcp::socket& socket) noexcept;
+
 /// @brief Connects within a time limit.
 /// @returns No error if the connection was established.
 asio::awaitable<error_code>
--- a/src/relay/refusal.cpp
+++ b/src/relay/refusal.cpp
@@ -2,6 +2,8 @@
 
 #include "caller_session.hpp"
 
+#include "hibiscusfall/core/verdict.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -22,6 +24,14 @@
 
 } // namespace
 
+refusal shutdown_refusal()
+{
+    return {.status = 503,
+            .code = to_string(core::failure::shutting_down),
+            .detail = "this instance may end before the request does",
+            .retry_after = other_instance_wait};
+}
+
 std::string_view reason_phrase(unsigned status) noexcept
 {
     return to_view(http::obsolete_reason(static_cast<http::status>(status)));
--- a/src/relay/refusal.hpp
+++ b/src/relay/refusal.hpp
@@ -24,6 +24,12 @@
     core::duration retry_after{}; ///< Zero for no Retry-After header.
 };
 
+/// @brief Retry-After of an instance that is shutting down or overloaded: another instance can serve at once.
+constexpr core::duration other_instance_wait = std::chrono::milliseconds{20};
+
+/// @brief Refusal of a request that was not sent to an endpoint, as this instance may end before it does.
+[[nodiscard]] refusal shutdown_refusal();
+
 /// @brief Sends a refusal to the caller.
 /// @param request_id Echoed when not empty.
 asio::awaitable<void> send_refusal(relay_server& server,
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -26,11 +26,6 @@
 using std::chrono::milliseconds;
 
 constexpr core::duration sweep_interval = milliseconds{25};
-/// Time for which new connections are accepted after a stop request: the load balancer needs two failed
-/// checks, one per second, to stop sending them.
-constexpr core::duration accept_grace_period = milliseconds{2600};
-/// The process exits this long before it would be killed.
-constexpr core::duration exit_margin = milliseconds{250};
 /// Time between the trials of two instances with segments that have crashed engines: longer than it takes
 /// until all know the result.
 constexpr core::duration trial_interval = std::chrono::seconds{1};
@@ -154,15 +149,12 @@
     this->fleet.shares.window = changed.share_window;
 }
 
-bool relay_server::shutdown_may_cut_streams(core::instant now) const noexcept
+std::optional<shutdown_schedule> relay_server::current_shutdown() const noexcept
 {
-    return this->shutting_down && now - this->shutdown_started >= accept_grace_period;
-}
-
-bool relay_server::may_end_before(core::instant limit) const noexcept
-{
-    return this->shutting_down &&
-           this->shutdown_started + this->options.shutdown_timeout - exit_margin < limit;
+    if (!this->shutting_down) {
+        return std::nullopt;
+    }
+    return shutdown_schedule{.requested = this->shutdown_started, .timeout = this->options.shutdown_timeout};
 }
 
 void relay_server::record_lag(core::instant now)
@@ -184,23 +176,39 @@
 {
     this->record_lag(now);
     this->connections->sweep(now);
-    bool busy = false;
-    const bool closing = this->shutting_down && now - this->shutdown_started >= accept_grace_period;
     for (const auto& [raw, weak] : *this->sessions) {
         if (const auto session = weak.lock()) {
             session->sweep(now);
-            busy = busy || !session->idle(now);
         }
     }
-    if (!closing) {
+    if (this->shutting_down) {
+        this->sweep_shutdown(now);
+    }
+}
+
+void relay_server::sweep_shutdown(core::instant now)
+{
+    const auto stop = *this->current_shutdown();
+    if (now < connections_until(stop)) {
         return;
     }
+    const bool ending = now >= responses_until(stop);
+    bool busy = false;
     for (const auto& [raw, weak] : *this->sessions) {
-        if (const auto session = weak.lock()) {
-            session->close_if_idle(now);
+        const auto session = weak.lock();
+        if (!session) {
+            continue;
+        }
+        if (session->idle(now)) {
+            session->close_idle();
+            continue;
+        }
+        busy = true;
+        if (ending) {
+            session->end_request();
         }
     }
-    const bool forced = now - this->shutdown_started >= this->options.shutdown_timeout - exit_margin;
+    const bool forced = now >= process_end(stop);
     if (this->shutdown_callback && (!busy || forced)) {
         const auto finish = std::exchange(this->shutdown_callback, nullptr);
         telemetry::write(
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -30,8 +30,6 @@
 constexpr int retry_after_divisor = 3;
 /// Retry-After while no configuration is available: the time of a few reads of the store.
 constexpr core::duration configuration_wait = milliseconds{400};
-/// Retry-After of an instance that is shutting down or overloaded: another instance can serve at once.
-constexpr core::duration other_instance_wait = milliseconds{20};
 /// Time reserved at the end of the route's timeout for sending the final response.
 constexpr core::duration response_margin = milliseconds{10};
 /// A retryable attempt is abandoned after this multiple of the expected time to first token, plus a slack.
@@ -103,15 +101,10 @@
         if (const auto* cause = this->find_crash_cause()) {
             return this->reject_for(*cause);
         }
-        const bool is_stream = this->state.route->kind == catalog::route_kind::stream;
-        const bool cut_off = is_stream ? this->server.shutdown_may_cut_streams(this->state.arrived)
-                                       : this->server.may_end_before(this->latest_response_time());
-        if (cut_off) {
+        const auto stop = this->server.current_shutdown();
+        if (stop && !accepts(*stop, this->pending(), this->state.arrived)) {
             this->caller.close_after_answer();
-            return refusal{.status = 503,
-                           .code = "shutting-down",
-                           .detail = "this instance may end before the request does",
-                           .retry_after = other_instance_wait};
+            return shutdown_refusal();
         }
         if (this->state.route->kind == catalog::route_kind::stream && refuses_streams(this->server.load)) {
             this->caller.close_after_answer();
@@ -171,6 +164,30 @@
                    : this->state.deadline;
     }
 
+    /// What the shutdown of this instance has to know of the request.
+    [[nodiscard]] pending_request pending() const
+    {
+        return {.is_stream = this->state.route->kind == catalog::route_kind::stream,
+                .repeatable = this->state.route->repeatable(),
+                .latest_response = this->latest_response_time()};
+    }
+
+    /// Whether the shutdown of this instance forbids another attempt. A stream that has begun may be resumed
+    /// until the end, since its caller has no other answer.
+    [[nodiscard]] bool shutdown_forbids_retry(core::instant now) const
+    {
+        const auto stop = this->server.current_shutdown();
+        return stop && (this->caller.is_ended() || (!this->state.head_sent && now >= responses_until(*stop)));
+    }
+
+    /// Handles an attempt that was ended because this instance ends: nothing is known of its endpoint.
+    static void record_ended_attempt(attempt_result& end)
+    {
+        end.sign = dispatch::request_outcome::succeeded;
+        end.outcome.reason = failure::shutting_down;
+        end.outcome.detail = "this instance ended before the endpoint answered";
+    }
+
     void prepare()
     {
         const auto& route = *this->state.route;
@@ -365,7 +382,11 @@
             auto end = co_await this->attempt(running, this->attempt_limit(decision, now));
             now = event_loop::now();
             this->server.crashes->waiting.erase(running.ticket);
-            this->check_broken_attempt(end, running);
+            if (this->caller.is_ended()) {
+                record_ended_attempt(end);
+            } else {
+                this->check_broken_attempt(end, running);
+            }
             dispatch::record_end(this->server.fleet, running, end.sign, now);
             this->log.reused_connection = end.reused_connection;
             this->log.ends_with_connection = end.ends_with_connection;
@@ -382,7 +403,11 @@
                 end.outcome = last.outcome; // an earlier attempt may have run
             }
             last = std::move(end);
-            if (!this->may_retry(last, running, now)) {
+            const bool may_follow = !this->shutdown_forbids_retry(now);
+            if (!may_follow && last.outcome.state == run_state::not_run) {
+                last.outcome.reason = failure::shutting_down;
+            }
+            if (!may_follow || !this->may_retry(last, running, now)) {
                 co_await this->finish(last, decision);
                 co_return;
             }
@@ -446,6 +471,11 @@
             co_return;
         }
         if (last.outcome.state == run_state::not_run) {
+            if (last.outcome.reason == failure::shutting_down) {
+                const auto answer = shutdown_refusal();
+                co_await this->refuse(answer);
+                co_return;
+            }
             co_await this->refuse_not_run(last, decision);
             co_return;
         }
