Send no request to another endpoint late in a stop that could cut it

What callers saw: a request that may not be repeated was refused by its first endpoint late in a stop, was sent to a second one, and was cut when the process ended. It had run, or not, and could not be sent again.

Cause: only the arrival was checked against the end of the process, not a later attempt.

Evidence: on a_refused_request_is_not_sent_late_to_another_endpoint_that_the_end_could_cut_off fails for calls and streams: the second endpoint receives the request.

Change: after the time in which streams are accepted, a call that may outlast the instance and may not be repeated, and a stream that has not begun, get no further attempt. If nothing has run the answer is 503 with Retry-After 20 ms. A call that ends before the instance does is still sent again (a_refused_request_is_sent_to_another_endpoint_if_it_ends_before_the_instance_does), and so is one that may be repeated.

Why it is right for callers: another instance can serve the refused request whole, and is told so while there is time.

--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -177,7 +177,8 @@
     [[nodiscard]] bool shutdown_forbids_retry(core::instant now) const
     {
         const auto stop = this->server.current_shutdown();
-        return stop && (this->caller.is_ended() || (!this->state.head_sent && now >= responses_until(*stop)));
+        return stop && (this->caller.is_ended() ||
+                        (!this->state.head_sent && !allows_retry(*stop, this->pending(), now)));
     }
 
     /// Handles an attempt that was ended because this instance ends: nothing is known of its endpoint.
--- a/tests/relay/planned_stop_test.cpp
+++ b/tests/relay/planned_stop_test.cpp
@@ -172,6 +172,66 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_refused_request_is_not_sent_late_to_another_endpoint_that_the_end_could_cut_off)
+{
+    for (const auto kind : {route_kind::non_idempotent, route_kind::stream}) {
+        std::atomic<int> request_count{0};
+        std::atomic<bool> refuses{false};
+        const auto script = [&](endpoint_connection& connection) {
+            const auto request = connection.read_request();
+            if (!request) {
+                return;
+            }
+            if (request_count++ == 0) {
+                while (!refuses) {
+                    std::this_thread::sleep_for(5ms);
+                }
+                connection.write(not_run_answer(request->id));
+            }
+            connection.wait_for_close();
+        };
+        relay_fixture fixture{{script, script}, unlimited_route(kind, 2)};
+        raw_caller caller{fixture.port()};
+        caller.send(request_bytes("1"));
+        wait_for_requests(fixture, 1);
+        begin_stop(fixture, 5s);
+        refuses = true;
+        const auto answer = caller.read_all(4s);
+        BOOST_TEST(answer.starts_with("HTTP/1.1 503"));
+        BOOST_TEST(contains(answer, "Retry-After: 0.020"));
+        BOOST_TEST(fixture.received().size() == 1U);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_request_is_sent_to_another_endpoint_if_it_ends_before_the_instance_does)
+{
+    std::atomic<int> request_count{0};
+    std::atomic<bool> refuses{false};
+    const auto script = [&](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        if (request_count++ > 0) {
+            connection.write(signed_answer(request->id, "hello"));
+            connection.wait_for_close();
+            return;
+        }
+        while (!refuses) {
+            std::this_thread::sleep_for(5ms);
+        }
+        connection.write(not_run_answer(request->id));
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{script, script}, route_of(route_kind::non_idempotent, 2)};
+    raw_caller caller{fixture.port()};
+    caller.send(request_bytes("1"));
+    wait_for_requests(fixture, 1);
+    begin_stop(fixture, 3s);
+    refuses = true;
+    BOOST_TEST(caller.read_all(4s).starts_with("HTTP/1.1 200"));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_body_is_not_complete_at_the_end_is_told_that_it_did_not_run)
 {
     relay_fixture fixture{{answer_all}, route_of(route_kind::non_idempotent)};
