Answer requests that came before a stopping instance announced its close

What callers saw: on a kept connection with pipelined requests, a stop answered the request in progress with Connection: close and dropped the others. After a stream whose head was sent before the stop, the connection was closed without any announcement, and the caller's next request was lost with it.

Cause: every session ended after its answer once the stop had begun.

Change: a session ends after an answer that announced the close. The announcement is made once nothing more has been received; what was received is served, or refused with 503. The time of the stop bounds both.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -209,7 +209,9 @@
 
 std::string_view caller_session::connection_header() noexcept
 {
-    if (should_close_connections(this->server.load, event_loop::now())) {
+    // A stopping instance answers what it has received before it announces the close.
+    const bool leaves = this->server.shutting_down && this->buffer.size() == 0 && !this->has_unread_bytes();
+    if (leaves || should_close_connections(this->server.load, event_loop::now())) {
         this->close_after_answer();
     }
     return this->keeps_open() ? "\r\n" : "Connection: close\r\n\r\n";
@@ -295,6 +297,11 @@
     }
 }
 
+bool caller_session::has_unread_bytes()
+{
+    return detail::has_unread_bytes(this->socket);
+}
+
 asio::awaitable<void> caller_session::close_after_drain()
 {
     error_code error;
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -74,7 +74,7 @@
     void cancel_attempt() noexcept;
 
     /// @brief Whether the connection accepts another request after the one in progress.
-    [[nodiscard]] bool keeps_open() const noexcept { return this->keep_open && !this->server.shutting_down; }
+    [[nodiscard]] bool keeps_open() const noexcept { return this->keep_open; }
 
     /// @brief Whether responses to the request in progress have no body, as it is a HEAD request.
     [[nodiscard]] bool expects_no_body() const noexcept { return this->head_request; }
@@ -94,6 +94,7 @@
     void watch_for_disconnect();
     void stop_watching();
     void handle_disconnect();
+    [[nodiscard]] bool has_unread_bytes();
 
     relay_server& server;
     std::shared_ptr<session_registry> registry;
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -103,7 +103,6 @@
         }
         const auto stop = this->server.current_shutdown();
         if (stop && !accepts(*stop, this->pending(), this->state.arrived)) {
-            this->caller.close_after_answer();
             return shutdown_refusal();
         }
         if (this->state.route->kind == catalog::route_kind::stream && refuses_streams(this->server.load)) {
--- a/tests/relay/planned_stop_test.cpp
+++ b/tests/relay/planned_stop_test.cpp
@@ -232,6 +232,68 @@
     BOOST_TEST(caller.read_all(4s).starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(requests_that_were_pipelined_before_the_stop_are_all_answered)
+{
+    std::atomic<bool> answers{false};
+    const auto script = [&](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            while (!answers) {
+                std::this_thread::sleep_for(5ms);
+            }
+            connection.write(signed_answer(request->id, "hello"));
+        }
+    };
+    relay_fixture fixture{{script}, route_of(route_kind::non_idempotent)};
+    raw_caller caller{fixture.port()};
+    caller.send(kept_request("1") + kept_request("2") + kept_request("3"));
+    wait_for_requests(fixture, 1);
+    begin_stop(fixture);
+    answers = true;
+    const auto answer = caller.read_all(4s);
+    BOOST_TEST(count(answer, "HTTP/1.1 200") == 3U);
+    BOOST_TEST(count(answer, "Connection: close") == 1U);
+    BOOST_TEST(answer.rfind("HTTP/1.1 200") < answer.find("Connection: close"));
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_were_pipelined_are_all_answered_when_the_end_comes)
+{
+    relay_fixture fixture{{never_answer}, unlimited_route(route_kind::non_idempotent)};
+    raw_caller caller{fixture.port()};
+    caller.send(kept_request("1") + kept_request("2"));
+    wait_for_requests(fixture, 1);
+    begin_stop(fixture, 7500ms);
+    const auto answer = caller.read_all(3s);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(count(answer, "HTTP/1.1 503") == 1U);
+    BOOST_TEST(fixture.received().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_after_a_stream_that_announced_no_close_is_answered)
+{
+    std::atomic<bool> ends{false};
+    const auto script = [&](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_stream_head(request->id) + event_chunks(1, 2));
+            while (!ends) {
+                std::this_thread::sleep_for(5ms);
+            }
+            connection.write(event_chunks(2, 3) + last_chunk);
+        }
+    };
+    relay_fixture fixture{{script}, route_of(route_kind::stream)};
+    raw_caller caller{fixture.port()};
+    caller.send(kept_request("1"));
+    (void)caller.read_until("id: 1");
+    begin_stop(fixture);
+    ends = true;
+    (void)caller.read_until(last_chunk);
+    caller.send(kept_request("2"));
+    const auto answer = caller.read_all(4s);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(contains(answer, "Connection: close"));
+    BOOST_TEST(answer.ends_with(last_chunk));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_whose_body_is_not_complete_at_the_end_is_told_that_it_did_not_run)
 {
     relay_fixture fixture{{answer_all}, route_of(route_kind::non_idempotent)};
