Close no idle connection on which a request has arrived

What callers saw: requests that had arrived at an instance behind its work were dropped with their connections when a stop closed the idle ones.

Cause: a connection counted as idle until its bytes were read.

Change: a connection with unread bytes is not idle.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -272,7 +272,7 @@
 
 bool caller_session::idle(core::instant now)
 {
-    return this->waiting && now - this->waiting_since >= request_arrival_time;
+    return this->waiting && now - this->waiting_since >= request_arrival_time && !this->has_unread_bytes();
 }
 
 void caller_session::close_idle()
--- a/tests/relay/planned_stop_test.cpp
+++ b/tests/relay/planned_stop_test.cpp
@@ -325,4 +325,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(requests_that_came_before_their_idle_connections_are_closed_are_answered)
+{
+    constexpr int caller_count = 300; // more than one poll of the event loop reports
+    relay_fixture fixture{{never_answer}, route_of(route_kind::stream)};
+    std::list<raw_caller> callers;
+    for (int i = 0; i < caller_count; ++i) {
+        callers.emplace_back(fixture.port());
+    }
+    std::this_thread::sleep_for(600ms); // until the connections count as idle
+    fixture.run_on_loop([&](relay::relay_server& entry) {
+        entry.shut_down([&entry] { entry.loop.stop(); });
+        entry.shutdown_started -= 3s;
+        std::this_thread::sleep_for(100ms); // until the sweep of idle connections is due
+        for (auto& caller : callers) {
+            caller.send(kept_request("1"));
+        }
+    });
+    std::size_t answered = 0;
+    for (auto& caller : callers) {
+        answered += caller.read_all(3s).starts_with("HTTP/1.1 503") ? 1 : 0;
+    }
+    BOOST_TEST(answered == callers.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
