Count a planned stop from when it may have been requested

What callers saw: nothing yet; read from the code. An instance behind its work handles the signal late, by up to the lag of its loop (0.6 to 0.9 s was seen with 0.12 of a core), counted its grace period from then and would have been killed before it ended: streams accepted beyond 3 s after the signal, and no final answers.

Evidence: on a_stop_that_a_loop_behind_its_work_sees_late_counts_from_when_it_may_have_come fails: the stop counts from 0.6 s too late.

--- a/include/hibiscusfall/relay/loop_load.hpp
+++ b/include/hibiscusfall/relay/loop_load.hpp
@@ -13,7 +13,8 @@
 /// expensive requests, so that callers retry them elsewhere at once. It also fails its readiness check, so
 /// that new connections go to other instances, and closes keep-alive connections after their responses.
 struct loop_load {
-    double lag_ms = 0; ///< Exponentially smoothed.
+    double lag_ms = 0;      ///< Exponentially smoothed.
+    double peak_lag_ms = 0; ///< Longest recent lag, which fades within some seconds.
     bool overloaded = false;
     core::instant changed_at{};
 };
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -132,7 +132,7 @@
     bool configuration_outdated = false;
     loop_load load;
     bool shutting_down = false;
-    core::instant shutdown_started{};
+    core::instant shutdown_started{}; ///< Earliest time at which the stop can have been requested.
 
 private:
     void sweep_shutdown(core::instant now);
@@ -146,6 +146,7 @@
     std::unique_ptr<listeners> acceptors;
     catalog::endpoint_list endpoints;
     core::instant last_sweep{};
+    core::instant sweep_before_last{};
     std::function<void()> shutdown_callback;
     std::vector<std::function<void(telemetry::metrics_page&)>> metrics_sources;
 };
--- a/src/relay/loop_load.cpp
+++ b/src/relay/loop_load.cpp
@@ -15,6 +15,8 @@
 /// Upper bound of a sample, so that one long pause of the process does not count as overload.
 constexpr double max_sample_ms = 150;
 constexpr double sample_weight = 0.25;
+/// Part of the peak that is left after each sample.
+constexpr double peak_fade = 0.99;
 /// The load balancer checks once a second and removes an instance after two failed checks.
 constexpr core::duration rotation_delay = std::chrono::milliseconds{2200};
 /// Minimum duration of the overloaded state, so that traffic does not oscillate with each readiness check.
@@ -24,7 +26,9 @@
 
 bool record_lag(loop_load& load, core::duration lag, core::instant now) noexcept
 {
-    const double sample = std::clamp(static_cast<double>(lag.count()) / 1000.0, 0.0, max_sample_ms);
+    const double lag_ms = static_cast<double>(lag.count()) / 1000.0;
+    const double sample = std::clamp(lag_ms, 0.0, max_sample_ms);
+    load.peak_lag_ms = std::max(lag_ms, load.peak_lag_ms * peak_fade);
     load.lag_ms += sample_weight * (sample - load.lag_ms);
     const bool before = load.overloaded;
     if (!before) {
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -113,6 +113,7 @@
         });
     }
     this->last_sweep = event_loop::now();
+    this->sweep_before_last = this->last_sweep;
     this->loop.every(sweep_interval, [this](core::instant now) { this->sweep(now); });
     this->loop.every(milliseconds{100},
                      [this](core::instant now) { dispatch::advance(this->fleet.shares, now); });
@@ -136,7 +137,8 @@
         return;
     }
     this->shutting_down = true;
-    this->shutdown_started = event_loop::now();
+    // A loop behind its work sees a stop request late; the one before its last sweep would have been seen.
+    this->shutdown_started = this->acceptors ? this->sweep_before_last : event_loop::now();
     this->shutdown_callback = std::move(when_done);
 }
 
@@ -154,12 +156,16 @@
     if (!this->shutting_down) {
         return std::nullopt;
     }
-    return shutdown_schedule{.requested = this->shutdown_started, .timeout = this->options.shutdown_timeout};
+    const auto lag_us = static_cast<core::duration::rep>(this->load.peak_lag_ms * 1000.0);
+    return shutdown_schedule{.requested = this->shutdown_started,
+                             .timeout = this->options.shutdown_timeout,
+                             .loop_lag = core::duration{lag_us}};
 }
 
 void relay_server::record_lag(core::instant now)
 {
     const auto due = this->last_sweep + time_to_next_tick(sweep_interval, this->last_sweep);
+    this->sweep_before_last = this->last_sweep;
     this->last_sweep = now;
     const bool changed =
         relay::record_lag(this->load, std::max(core::elapsed(due, now), core::duration::zero()), now);
--- a/tests/relay/planned_stop_test.cpp
+++ b/tests/relay/planned_stop_test.cpp
@@ -349,4 +349,25 @@
     BOOST_TEST(answered == callers.size());
 }
 
+BOOST_AUTO_TEST_CASE(a_stop_that_a_loop_behind_its_work_sees_late_counts_from_when_it_may_have_come)
+{
+    relay_fixture fixture{{never_answer}, route_of(route_kind::stream)};
+    core::instant requested{};
+    std::atomic<bool> is_blocked{false};
+    std::thread blocks{[&] {
+        fixture.run_on_loop([&](relay::relay_server&) {
+            is_blocked = true;
+            std::this_thread::sleep_for(600ms);
+        });
+    }};
+    while (!is_blocked) {
+        std::this_thread::sleep_for(1ms);
+    }
+    requested = relay::event_loop::now();
+    begin_stop(fixture);
+    blocks.join();
+    fixture.run_on_loop(
+        [&](relay::relay_server& entry) { BOOST_TEST((entry.shutdown_started <= requested)); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/shutdown_schedule_test.cpp
+++ b/tests/relay/shutdown_schedule_test.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusfall/relay/shutdown_schedule.hpp"
 
+#include "hibiscusfall/relay/loop_load.hpp"
+
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck/boost_test.h>
 
@@ -54,6 +56,14 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_loop_that_is_behind_sends_final_responses_before_it_would_be_killed)
+{
+    const shutdown_schedule calm{.requested = start, .timeout = 8s};
+    const shutdown_schedule behind{.requested = start, .timeout = 8s, .loop_lag = 900ms};
+    BOOST_TEST((relay::responses_until(calm) >= start + 7700ms));
+    BOOST_TEST((relay::responses_until(behind) + behind.loop_lag <= start + 7800ms));
+}
+
 BOOST_AUTO_TEST_CASE(streams_that_are_longer_than_the_grace_period_are_refused_late_in_it)
 {
     const shutdown_schedule stop{.requested = start, .timeout = 8s};
@@ -65,4 +75,19 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_peak_of_the_lag_is_kept_for_some_time_after_a_delay)
+{
+    relay::loop_load load;
+    auto now = start;
+    relay::record_lag(load, 900ms, now);
+    for (int i = 0; i < 20; ++i) {
+        relay::record_lag(load, 1ms, now += 25ms);
+    }
+    BOOST_TEST(load.peak_lag_ms > 700);
+    for (int i = 0; i < 1000; ++i) {
+        relay::record_lag(load, 1ms, now += 25ms);
+    }
+    BOOST_TEST(load.peak_lag_ms < 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
