--- a/tests/adapter/entry_process_test.cpp
+++ b/tests/adapter/entry_process_test.cpp
@@ -90,6 +90,8 @@
         return all.find(text) != std::string::npos;
     }
 
+    [[nodiscard]] std::uint16_t caller_port() const { return this->callers; }
+
     testbed::child_process& child() { return *this->process; }
 
 private:
@@ -142,6 +144,35 @@
     BOOST_TEST(*code == 0);
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_request_that_is_still_arriving_when_the_process_ends_is_refused_before_it_would_be_killed)
+{
+    platform_store store;
+    store.put("op/config", empty_configuration);
+    entry_process entry{store.address()};
+    BOOST_REQUIRE(eventually([&] { return entry.ready(); }, 5s));
+    asio::io_context io;
+    tcp::socket caller{io};
+    caller.connect({asio::ip::address_v4::loopback(), entry.caller_port()});
+    constexpr std::string_view head = "POST / HTTP/1.1\r\nHost: e\r\nX-Hibiscusfall-Request-Id: "
+                                      "9c41d07be2a35f68\r\nContent-Length: 9\r\n\r\n";
+    asio::write(caller, asio::buffer(head));
+    const auto stop = std::chrono::steady_clock::now();
+    entry.child().signal(SIGTERM);
+    boost::system::error_code error;
+    for (int i = 0; i < 5; ++i) {
+        std::this_thread::sleep_for(1s);
+        asio::write(caller, asio::buffer("x", 1), error);
+    }
+    std::string answer(12, '\0');
+    asio::read(caller, asio::buffer(answer), error);
+    BOOST_TEST(answer == "HTTP/1.1 503");
+    const auto code = entry.child().wait(2s);
+    BOOST_REQUIRE(code.has_value());
+    BOOST_TEST(*code == 0);
+    BOOST_TEST((std::chrono::steady_clock::now() - stop < 6s)); // limit_s
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_path_is_not_denied_until_a_restored_store_has_settled)
 {
     platform_store store;
