Count crashes that attempts of one arrival were cut by as one

What callers saw, in the played load: after ordinary crashes sound GETs were rejected with 503 that an instance had repeated into a second crash.

Cause: two separate crashes establish a cause, and the attempt that an instance makes after a crash goes to an endpoint that crashes next. That both were cut follows from the repeat, whatever ended the endpoints.

Change: a suspect names the arrival of its request at the instance. Crashes that were counted for an arrival are not counted for it again. The field is zero where it is not known, as from instances without it, and then nothing changes. The relay does not set it yet, so that this has no effect before it does.

Why it works: a crashing request comes again as another arrival, or at another instance, and is then counted.

Where the report of a suspect is lost, the crash looks like one that the request had no part in.

--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -48,7 +48,8 @@
     std::vector<std::uint64_t> traits{};
     std::uint32_t age_ms = 0; ///< Time since the crash.
     bool answer_begun = false;
-    MSGPACK_DEFINE(endpoint, team, traits, age_ms, answer_begun)
+    std::uint32_t arrival = 0; ///< Of the request at the sender; zero if unknown.
+    MSGPACK_DEFINE(endpoint, team, traits, age_ms, answer_begun, arrival)
 };
 
 /// @brief A trait that an answer shows not to be the cause of a crash of which it was suspected.
--- a/src/dispatch/crash_causes.cpp
+++ b/src/dispatch/crash_causes.cpp
@@ -193,23 +193,31 @@
 
 std::uint32_t count_separate_crashes(std::span<const crash_suspect* const> suspects)
 {
-    std::map<endpoint_tag, core::instant> crashes;
+    std::map<endpoint_tag, const crash_suspect*> crashes;
     for (const auto* each : suspects) {
-        const auto [position, added] = crashes.try_emplace(each->endpoint, each->crashed_at);
-        position->second = std::min(position->second, each->crashed_at);
+        const auto [position, added] = crashes.try_emplace(each->endpoint, each);
+        if (each->crashed_at < position->second->crashed_at) {
+            position->second = each;
+        }
     }
-    std::vector<core::instant> times;
-    times.reserve(crashes.size());
-    for (const auto& [endpoint, at] : crashes) {
-        times.push_back(at);
+    std::vector<const crash_suspect*> in_order;
+    in_order.reserve(crashes.size());
+    for (const auto& [endpoint, first] : crashes) {
+        in_order.push_back(first);
     }
-    std::sort(times.begin(), times.end());
+    std::sort(in_order.begin(), in_order.end(), [](const crash_suspect* a, const crash_suspect* b) {
+        return a->crashed_at < b->crashed_at;
+    });
     std::uint32_t count = 0;
     core::instant window_start{};
-    for (const auto at : times) {
-        if (count == 0 || at - window_start > common_crash_window) {
+    std::vector<std::uint32_t> arrivals;
+    for (const auto* each : in_order) {
+        const bool repeated = each->arrival != 0 &&
+                              std::find(arrivals.begin(), arrivals.end(), each->arrival) != arrivals.end();
+        arrivals.push_back(each->arrival);
+        if (!repeated && (count == 0 || each->crashed_at - window_start > common_crash_window)) {
             ++count;
-            window_start = at;
+            window_start = each->crashed_at;
         }
     }
     return count;
--- a/tests/dispatch/crashing_request_test.cpp
+++ b/tests/dispatch/crashing_request_test.cpp
@@ -192,6 +192,20 @@
     BOOST_TEST(!rejects(state, plain(sound), start + 2s));
 }
 
+BOOST_AUTO_TEST_CASE(
+    a_request_whose_instance_repeats_it_into_a_second_crash_is_not_rejected_before_it_arrives_again)
+{
+    crash_attribution state;
+    for (endpoint_tag endpoint = 1; endpoint <= 3; ++endpoint) {
+        const auto at = start + 1s * static_cast<int>(endpoint);
+        auto cut = suspect(state, endpoint, at, plain(crashing));
+        cut.arrival = endpoint <= 2 ? 41 : 42;
+        (void)record_suspect(state, cut, at);
+        update_causes(state, at);
+        BOOST_TEST(rejects(state, plain(crashing), at) == (endpoint == 3));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_team_cannot_get_the_same_request_of_another_team_rejected)
 {
     const auto state = after_two_crashes();
--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -217,13 +217,14 @@
 BOOST_AUTO_TEST_CASE(findings_survive_the_wire_and_reports_of_older_instances_are_read_without_them)
 {
     peers::load_report report{.instance = "a", .incarnation = 1, .sequence = 1, .domain = "north"};
-    report.crashes.suspects = {{.endpoint = 7, .team = 3, .traits = {1, 2}, .age_ms = 40}};
+    report.crashes.suspects = {{.endpoint = 7, .team = 3, .traits = {1, 2}, .age_ms = 40, .arrival = 9}};
     report.crashes.exonerated = {{.trait = 2, .age_ms = 10}};
     report.crashes.causes = {{.traits = {1}, .team = {3}, .crashes = 2, .age_ms = 50, .hold_ms = 60000}};
     const auto bytes = peers::encode(report);
     const auto read = peers::decode(bytes);
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST(read->crashes.suspects.front().traits.size() == 2U);
+    BOOST_TEST(read->crashes.suspects.front().arrival == 9U);
     BOOST_TEST(read->crashes.exonerated.front().trait == 2U);
     BOOST_TEST(read->crashes.causes.front().hold_ms == 60000U);
     const auto whole = msgpack::unpack(bytes.data(), bytes.size());
--- a/tests/peers/crashing_request_load_test.cpp
+++ b/tests/peers/crashing_request_load_test.cpp
@@ -82,6 +82,7 @@
     bool withdrawn = false;
     int attempts = 0;        ///< Made by the instance.
     int callers_repeats = 1; ///< Left to the caller.
+    std::uint32_t arrival = 0;
     std::size_t instance = 0;
     std::size_t endpoint = 0;
     core::instant ends{};
@@ -247,7 +248,7 @@
         const bool popular = request.digest == popular_digest && this->options.popular_run > 0s;
         request.ends = now + this->draw(this->options.min_run,
                                         popular ? this->options.popular_run : this->options.max_run);
-        ++request.attempts;
+        request.arrival = request.attempts++ == 0 ? ++this->arrivals : request.arrival;
         const auto tried =
             dispatch::record_sending(this->knowledge(request), request.traits(), request.team, now);
         request.is_trial = !tried.empty();
@@ -356,7 +357,8 @@
                               .suspect = {.endpoint = tag,
                                           .team = request.team,
                                           .traits = dispatch::suspect_traits(instance, request.traits(), now),
-                                          .crashed_at = now}});
+                                          .crashed_at = now,
+                                          .arrival = request.arrival}});
         if (!request.repeatable) {
             return;
         }
@@ -409,6 +411,7 @@
     std::map<std::uint64_t, std::size_t> late_held;
     std::set<std::uint64_t> blamed;
     std::uint64_t calls = 0;
+    std::uint32_t arrivals = 0;
     int sent_crashing = 0;
     outcome result;
 };
@@ -498,6 +501,14 @@
     BOOST_TEST(result.rejected() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_failure_domain_that_was_cut_off_holds_a_crashing_call_when_it_hears_again)
+{
+    const auto result =
+        play({.reports = {.instances = 10, .cut_from = start, .cut_until = start + 6s}}, seeds, 55s);
+    BOOST_TEST(result.late <= 3U);
+    BOOST_TEST(result.rejected() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(single_crashes_of_endpoints_reject_no_sound_requests)
 {
     auto load = with_popular_page();
@@ -536,6 +547,32 @@
     BOOST_TEST(result.rejected() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_rolling_release_under_slow_pages_that_are_repeated_rejects_hardly_any_sound_requests)
+{
+    auto load = with_popular_page();
+    load.crashing_share = 0;
+    load.endpoints = 9;
+    load.max_run = 3s;
+    for (std::size_t i = 0; i < 9; ++i) {
+        load.ordinary.push_back({.endpoint = i, .at = start + 5s + 1s * static_cast<int>(i)});
+    }
+    const auto result = play(load, seeds, 60s);
+    BOOST_TEST(result.rejected() * 10'000 <= result.sound);
+}
+
+BOOST_AUTO_TEST_CASE(a_rack_that_fails_under_slow_pages_that_are_repeated_rejects_hardly_any_sound_requests)
+{
+    auto load = with_popular_page();
+    load.crashing_share = 0;
+    load.endpoints = 9;
+    load.max_run = 3s;
+    for (std::size_t i = 0; i < 3; ++i) {
+        load.ordinary.push_back({.endpoint = i, .at = start + 5s + 290ms * static_cast<int>(i)});
+    }
+    const auto result = play(load, seeds, 60s);
+    BOOST_TEST(result.rejected() * 10'000 <= result.sound);
+}
+
 BOOST_AUTO_TEST_CASE(trials_of_two_hours_end_no_more_than_three_endpoints_after_the_third_crash)
 {
     const auto result =
