Report how long a cause of crashes is held without cutting it to an hour

Reports state ages of at most an hour, and stated the hold of a cause and the age of its last crash in the same way.

Change: holds, ages and trials of causes are reported up to the longest hold and retention.

Evidence: an_instance_that_hears_of_a_cause_held_for_a_day_does_not_try_it_after_an_hour failed at two checks before.

--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -17,6 +17,13 @@
 constexpr core::duration max_datagram_delay = std::chrono::milliseconds{300};
 constexpr std::size_t max_depth = 8; // a report nests five arrays
 
+/// Times of causes are longer than the ages that other parts of a report state.
+std::uint32_t to_cause_milliseconds(core::duration time)
+{
+    constexpr auto max_time = dispatch::max_hold + dispatch::cause_retention;
+    return static_cast<std::uint32_t>(std::clamp(time, core::duration{0}, max_time) / milliseconds{1});
+}
+
 void apply_endpoint_totals(dispatch::fleet_state& book,
                            dispatch::peer_state& peer,
                            const endpoint_totals& totals,
@@ -81,13 +88,13 @@
 {
     cause_entry entry{.traits = cause.traits,
                       .crashes = cause.crashes,
-                      .age_ms = to_milliseconds(core::elapsed(cause.last_crash, now)),
-                      .hold_ms = to_milliseconds(cause.hold)};
+                      .age_ms = to_cause_milliseconds(core::elapsed(cause.last_crash, now)),
+                      .hold_ms = to_cause_milliseconds(cause.hold)};
     if (cause.team) {
         entry.team.push_back(*cause.team);
     }
     if (cause.trial_sent != core::instant{}) {
-        entry.trial_age_ms = to_milliseconds(core::elapsed(cause.trial_sent, now));
+        entry.trial_age_ms = to_cause_milliseconds(core::elapsed(cause.trial_sent, now));
     }
     return entry;
 }
--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -242,6 +242,19 @@
     BOOST_TEST(read_older->crashes.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_that_hears_of_a_cause_held_for_a_day_does_not_try_it_after_an_hour)
+{
+    const dispatch::crash_cause held{
+        .traits = {1}, .crashes = 4, .first_crash = start, .last_crash = start, .hold = dispatch::max_hold};
+    crash_attribution known;
+    (void)peers::apply(known, {.causes = {peers::to_entry(held, start)}}, start);
+    BOOST_TEST((dispatch::find_cause(known, {.segments = {1}}, 1, start + 23h) != nullptr));
+    crash_attribution later;
+    (void)peers::apply(later, {.causes = {peers::to_entry(held, start + 23h)}}, start + 23h);
+    BOOST_TEST((dispatch::find_cause(later, {.segments = {1}}, 1, start + 23h + 59min) != nullptr));
+    BOOST_TEST((dispatch::find_cause(later, {.segments = {1}}, 1, start + 25h) == nullptr));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_findings_of_a_peer_neither_grow_without_bound_nor_reject_everything)
 {
     crash_attribution known;
