Keep the time of a crash that instances repeat to each other

Reports state ages, so that each report makes a crash seem as much later as it took; of two times the later one was kept. Where reports take as long as the time between full reports a hold does not end.

Change: the time of a crash or trial is replaced by a reported one only if that is over 3 s later.

Evidence: a_cause_that_instances_repeat_to_each_other_by_slow_reports_ends_after_its_hold failed before at each of the twenty instances.

--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -59,6 +59,17 @@
     }
 }
 
+/// Times of one event that instances state differ by the time that their reports took, and by that of the
+/// reports from which they learned it.
+constexpr core::duration reported_time_tolerance = std::chrono::seconds{3};
+
+/// Takes over the time of a later event. The time of the same event is kept: with the later one of each
+/// report, instances that repeat it to each other would move it on.
+void take_later(core::instant& known, core::instant reported)
+{
+    known = reported > known + reported_time_tolerance ? reported : known;
+}
+
 /// Time until which all instances reject requests because of a cause.
 core::instant held_until(const crash_cause& cause)
 {
@@ -214,8 +225,8 @@
     });
     if (known != state.causes.end()) {
         known->hold = std::max(known->hold, cause.hold);
-        known->last_crash = std::max(known->last_crash, cause.last_crash);
-        known->trial_sent = std::max(known->trial_sent, cause.trial_sent);
+        take_later(known->last_crash, cause.last_crash);
+        take_later(known->trial_sent, cause.trial_sent);
     } else if (exonerated.size() < cause.traits.size() &&
                detail::count_separate_crashes(suspects) < min_crashes) {
         add_cause(state, cause);
--- a/tests/peers/crash_findings_test.cpp
+++ b/tests/peers/crash_findings_test.cpp
@@ -255,6 +255,29 @@
     BOOST_TEST((dispatch::find_cause(later, {.segments = {1}}, 1, start + 25h) == nullptr));
 }
 
+BOOST_AUTO_TEST_CASE(a_cause_that_instances_repeat_to_each_other_by_slow_reports_ends_after_its_hold)
+{
+    std::mt19937 random{1};
+    testing::played_reports reports{{.instances = 20, .loss = 0, .max_delay = 600ms}, random};
+    for (auto& each : reports.known) {
+        (void)dispatch::record_cause(each,
+                                     {.traits = {1},
+                                      .crashes = 2,
+                                      .first_crash = start,
+                                      .last_crash = start,
+                                      .hold = dispatch::initial_hold},
+                                     start);
+    }
+    const auto end = start + dispatch::initial_hold + 5s;
+    for (auto now = start; now < end; now += 5ms) {
+        reports.deliver(now);
+        reports.send_full(now);
+    }
+    for (const auto& each : reports.known) {
+        BOOST_TEST((dispatch::find_cause(each, {.segments = {1}}, 1, end) == nullptr));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(malformed_findings_of_a_peer_neither_grow_without_bound_nor_reject_everything)
 {
     crash_attribution known;
