Play crashing calls at all instances at once, 300 in turn, and streams under a rolling release

A call that arrives at nine instances at the same moment each 5 s ends all four endpoints within 300 ms, which count as one crash: 8 crashes, and the nine sendings of the second moment are later than 3 s after the third crash, where three are allowed. The test fails (a_crashing_call_that_arrives_at_all_instances_at_once_is_held_after_its_first_crashes).

300 crashing calls in turn, one a second: none comes again before its first crash is forgotten after 60 s, so that each ends one endpoint each time. 590 crashes in 10 minutes, 360 suspects, 1 cause. Of 178,906 sound requests in three plays 2 are rejected, both of one page that was cut by two such crashes in two arrivals; none is allowed, so that a_team_with_300_crashing_calls_in_turn_gets_no_sound_requests_rejected fails. Its memory is checked by a case of its own.

Streams of 2 to 10 s that are resumed, under a rolling release of one endpoint a second: none of 39,847 requests rejected in 20 plays; 1,152 streams are not resumed at their second cut, as they are suspected of the first crash.

--- a/tests/peers/crashing_request_load_test.cpp
+++ b/tests/peers/crashing_request_load_test.cpp
@@ -52,6 +52,7 @@
     core::duration popular_run{}; ///< Its longest time at an endpoint.
     double page_share = 0.4;      ///< Of sound GETs of other pages.
     int pages = 2000;
+    double stream_share = 0; ///< Of requests whose answers last 2 to 10 s and are resumed elsewhere.
     std::vector<ordinary_crash> ordinary{};
 };
 
@@ -65,11 +66,13 @@
     std::size_t pages_rejected = 0;
     std::size_t calls_rejected = 0;
     std::size_t pages_blamed = 0; ///< Pages other than the popular one that were rejected, each once.
+    std::size_t streams_rejected = 0;
+    std::size_t streams_ended = 0; ///< Cut twice, and not resumed as they were suspected.
     std::size_t most_causes = 0;
     std::size_t most_suspects = 0;
     [[nodiscard]] std::size_t rejected() const
     {
-        return this->popular_rejected + this->pages_rejected + this->calls_rejected;
+        return this->popular_rejected + this->pages_rejected + this->calls_rejected + this->streams_rejected;
     }
 };
 
@@ -78,6 +81,7 @@
     dispatch::team_tag team = 0;
     bool crashing = false;
     bool repeatable = false;
+    bool is_stream = false;
     bool is_trial = false;
     bool withdrawn = false;
     int attempts = 0;        ///< Made by the instance.
@@ -85,7 +89,9 @@
     std::uint32_t arrival = 0;
     std::size_t instance = 0;
     std::size_t endpoint = 0;
+    core::instant sent{};
     core::instant ends{};
+    core::instant resumed_until{}; ///< End of a stream, wherever it runs.
     [[nodiscard]] dispatch::request_traits traits() const { return {.segments = {}, .digest = this->digest}; }
 };
 
@@ -195,6 +201,11 @@
             request = this->crashing_request();
         } else if (this->chance(this->options.popular_share)) {
             request = {.digest = popular_digest, .team = 1, .repeatable = true};
+        } else if (this->options.stream_share > 0 && this->chance(this->options.stream_share)) {
+            request = {.digest = first_call_digest + ++this->calls,
+                       .team = static_cast<dispatch::team_tag>(this->draw(1, 8)),
+                       .repeatable = true,
+                       .is_stream = true};
         } else if (this->chance(this->options.page_share)) {
             const auto page = static_cast<unsigned>(this->draw(0, this->options.pages - 1));
             request = {.digest = first_page_digest + page, .team = 1 + page % 8, .repeatable = true};
@@ -219,6 +230,8 @@
         }
         if (request.digest == popular_digest) {
             ++this->result.popular_rejected;
+        } else if (request.is_stream) {
+            ++this->result.streams_rejected;
         } else if (request.repeatable) {
             ++this->result.pages_rejected;
             this->blamed.insert(request.digest);
@@ -248,6 +261,14 @@
         const bool popular = request.digest == popular_digest && this->options.popular_run > 0s;
         request.ends = now + this->draw(this->options.min_run,
                                         popular ? this->options.popular_run : this->options.max_run);
+        if (request.is_stream) {
+            request.ends = std::max(request.resumed_until, now + this->options.min_run);
+            if (request.attempts == 0) {
+                request.ends = now + this->draw(2s, 10s);
+            }
+            request.resumed_until = request.ends;
+        }
+        request.sent = now;
         request.arrival = request.attempts++ == 0 ? ++this->arrivals : request.arrival;
         const auto tried =
             dispatch::record_sending(this->knowledge(request), request.traits(), request.team, now);
@@ -358,14 +379,19 @@
                                           .team = request.team,
                                           .traits = dispatch::suspect_traits(instance, request.traits(), now),
                                           .crashed_at = now,
+                                          .answer_begun = request.is_stream && request.sent + 300ms < now,
                                           .arrival = request.arrival}});
         if (!request.repeatable) {
             return;
         }
-        if (request.attempts < 2 && !this->is_rejected(request, now) &&
+        const int max_attempts = request.is_stream ? 5 : 2;
+        if (request.attempts < max_attempts && !this->is_rejected(request, now) &&
             !dispatch::is_suspect(instance, request.traits())) {
             this->accept(request, now);
-        } else if (request.callers_repeats > 0) {
+            return;
+        }
+        this->result.streams_ended += request.is_stream ? 1 : 0;
+        if (request.callers_repeats > 0) {
             --request.callers_repeats;
             request.attempts = 0;
             request.instance = this->draw_instance(now);
@@ -438,7 +464,9 @@
                                  &outcome::popular_rejected,
                                  &outcome::pages_rejected,
                                  &outcome::calls_rejected,
-                                 &outcome::pages_blamed}) {
+                                 &outcome::pages_blamed,
+                                 &outcome::streams_rejected,
+                                 &outcome::streams_ended}) {
             add(count, one);
         }
     }
@@ -446,8 +474,9 @@
                                   << worst.late << ", within the hold " << worst.late_held << ", sound "
                                   << worst.sound << ", rejected popular " << worst.popular_rejected
                                   << ", pages " << worst.pages_rejected << " of " << worst.pages_blamed
-                                  << ", calls " << worst.calls_rejected << ", causes " << worst.most_causes
-                                  << ", suspects " << worst.most_suspects);
+                                  << ", streams " << worst.streams_rejected << " (ended "
+                                  << worst.streams_ended << "), calls " << worst.calls_rejected << ", causes "
+                                  << worst.most_causes << ", suspects " << worst.most_suspects);
     return worst;
 }
 
@@ -482,6 +511,14 @@
     BOOST_TEST(result.rejected() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(a_crashing_call_that_arrives_at_all_instances_at_once_is_held_after_its_first_crashes)
+{
+    const auto result = play({.crashing_share = 0, .burst_interval = 5s}, seeds, 55s);
+    BOOST_TEST(result.late <= 3U);
+    BOOST_TEST(result.late_held == 0U);
+    BOOST_TEST(result.rejected() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_crashing_call_is_held_by_sixty_instances_with_lost_and_late_reports)
 {
     const auto result = play({.reports = {.instances = 60, .max_delay = 600ms, .full_interval = 600ms},
@@ -560,6 +597,20 @@
     BOOST_TEST(result.rejected() * 10'000 <= result.sound);
 }
 
+BOOST_AUTO_TEST_CASE(a_rolling_release_under_streams_that_are_resumed_rejects_hardly_any_of_them)
+{
+    auto load = with_popular_page();
+    load.crashing_share = 0;
+    load.endpoints = 9;
+    load.requests_per_second = 50;
+    load.stream_share = 0.5;
+    for (std::size_t i = 0; i < 9; ++i) {
+        load.ordinary.push_back({.endpoint = i, .at = start + 5s + 1s * static_cast<int>(i)});
+    }
+    const auto result = play(load, seeds, 40s);
+    BOOST_TEST(result.rejected() * 10'000 <= result.sound);
+}
+
 BOOST_AUTO_TEST_CASE(a_rack_that_fails_under_slow_pages_that_are_repeated_rejects_hardly_any_sound_requests)
 {
     auto load = with_popular_page();
@@ -596,4 +647,19 @@
     BOOST_TEST(result.most_suspects <= dispatch::max_suspects);
 }
 
+BOOST_AUTO_TEST_CASE(a_team_with_300_crashing_calls_in_turn_takes_bounded_memory)
+{
+    const auto result =
+        play({.endpoints = 9, .crashing_kinds = 300, .times_sent = 1, .crashing_team = 3}, 1, 300s);
+    BOOST_TEST(result.most_causes <= dispatch::max_causes);
+    BOOST_TEST(result.most_suspects <= dispatch::max_suspects);
+}
+
+BOOST_AUTO_TEST_CASE(a_team_with_300_crashing_calls_in_turn_gets_no_sound_requests_rejected)
+{
+    const auto result =
+        play({.endpoints = 9, .crashing_kinds = 300, .times_sent = 1, .crashing_team = 3}, 3, 600s);
+    BOOST_TEST(result.rejected() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
