Give the soak's endpoints and links an address of their own

Cause: the stand-ins of the endpoints and the proxy's links listened at 127.0.0.1, on ports that were free a moment earlier. The ports come from the range of outgoing connections, 28,232 ports, and the machine had 25,518 connections in TIME-WAIT.

Change: they listen at an address of the block of loopback addresses that the soak holds, as the entries do. No other program's connections use it.

--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -82,7 +82,7 @@
     const standins::link_listener listener{.name = name,
                                            .source = source,
                                            .datagrams = false,
-                                           .listen = boost::asio::ip::make_address("127.0.0.1"),
+                                           .listen = boost::asio::ip::make_address(this->endpoint_host),
                                            .listen_port = listen,
                                            .target = boost::asio::ip::make_address(target.host),
                                            .target_port = target.port};
@@ -95,7 +95,7 @@
     endpoint->id = (engine ? "engine-" : "plain-") + std::to_string(number);
     endpoint->service = engine ? "draft" : "desk";
     endpoint->domain = domain_of(number);
-    endpoint->host = "127.0.0.1";
+    endpoint->host = this->endpoint_host;
     endpoint->port = testbed::find_free_port(endpoint->host);
     endpoint->engine = engine;
     platform_endpoint::start(endpoint, this->records);
@@ -114,15 +114,15 @@
     entry->host = this->block.host(first_host + number);
     entry->callers = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
     entry->readiness = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
-    entry->store_port = testbed::find_free_port("127.0.0.1");
+    entry->store_port = testbed::find_free_port(this->endpoint_host);
     this->add_link("store", entry->name, entry->store_port, this->store.address());
     std::ofstream{this->options.folder / (entry->name + ".ini")}
         << "[instance]\nid = " << entry->name << "\nfailure_domain = " << domain_of(number)
         << "\n[listen]\ncallers = " << core::to_string(entry->callers)
         << "\nreadiness = " << core::to_string(entry->readiness) << "\ninner = " << entry->host << ":"
         << this->inner_port << "\n[peers]\nseeds = " << this->block.host(first_host) << ":1, "
-        << this->block.host(first_host + 1) << ":1\n[store]\naddress = 127.0.0.1:" << entry->store_port
-        << "\n[shutdown]\nlimit_s = 6\n";
+        << this->block.host(first_host + 1) << ":1\n[store]\naddress = " << this->endpoint_host << ":"
+        << entry->store_port << "\n[shutdown]\nlimit_s = 6\n";
     this->entries.push_back(std::move(entry));
     this->start_entry(*this->entries.back());
 }
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -92,6 +92,7 @@
     fleet_options options;
     ledger& records;
     testbed::loopback_block block;
+    std::string endpoint_host = block.host(2); ///< Of no other program, whose connections could take ports.
     standins::link_proxy proxy;
     std::thread proxy_thread;
     std::uint16_t inner_port = 0;
