Let the stand-in proxy end a place's connections and refuse new ones

The soak's endpoints stand behind the proxy, which accepts for them: one that has crashed looked alive to a connection that checks it. set_accepting() ends all connections to a place and has its listeners refuse new ones until it accepts again.

--- a/standins/parts/link_proxy.hpp
+++ b/standins/parts/link_proxy.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -43,6 +44,8 @@
     std::map<std::string, std::string> places; ///< Names by source address.
     link_counters counters;
     std::mt19937_64 random;
+    std::multimap<std::string, std::function<void(bool)>>
+        listeners; ///< Set whether the place's links accept.
 
     [[nodiscard]] std::string place_of(const boost::asio::ip::address& host) const
     {
@@ -63,4 +66,7 @@
 /// @brief Listens for connections and passes their bytes on. Throws boost::system::system_error.
 void start_stream_link(link_proxy& proxy, const link_listener& listener);
 
+/// @brief Ends the connections to a place and refuses new ones as if its process had ended, or accepts again.
+void set_accepting(link_proxy& proxy, const std::string& place, bool accepts);
+
 } // namespace hibiscusfall::standins
--- a/standins/parts/stream_link.cpp
+++ b/standins/parts/stream_link.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <memory>
+#include <sys/socket.h>
 
 namespace hibiscusfall::standins
 {
@@ -30,6 +32,15 @@
         this->client.close(ignored);
         this->server.close(ignored);
     }
+
+    /// Ends the connections, even if a started process has inherited them.
+    void end()
+    {
+        boost::system::error_code ignored;
+        this->client.shutdown(tcp::socket::shutdown_both, ignored);
+        this->server.shutdown(tcp::socket::shutdown_both, ignored);
+        this->close();
+    }
 };
 
 /// One direction of one connection: reads a piece, waits as the rule says, writes it, and so on.
@@ -128,6 +139,8 @@
     link_proxy& proxy;
     link_listener listener;
     tcp::acceptor acceptor;
+    bool accepts = true;
+    std::vector<std::weak_ptr<stream_pair>> pairs;
 
     stream_link(link_proxy& owner, const link_listener& given)
         : proxy(owner), listener(given),
@@ -139,7 +152,7 @@
     {
         this->acceptor.async_accept(
             [self = this->shared_from_this()](const boost::system::error_code& error, tcp::socket client) {
-                if (error == asio::error::operation_aborted) {
+                if (error == asio::error::operation_aborted || !self->accepts) {
                     return;
                 }
                 if (!error) {
@@ -149,6 +162,25 @@
             });
     }
 
+    void set_accepting(bool wanted)
+    {
+        this->accepts = wanted;
+        if (wanted) {
+            this->acceptor.listen();
+            this->accept();
+            return;
+        }
+        this->acceptor.cancel();
+        // The socket stays bound and refuses connections, as does the copy that a started process inherited.
+        ::shutdown(this->acceptor.native_handle(), SHUT_RDWR);
+        for (const auto& each : this->pairs) {
+            if (const auto pair = each.lock()) {
+                pair->end();
+            }
+        }
+        this->pairs.clear();
+    }
+
     void connect(tcp::socket client)
     {
         ++this->proxy.counters.connections;
@@ -161,6 +193,8 @@
             this->listener.source.empty() ? this->proxy.place_of(peer.address()) : this->listener.source;
         auto pair = std::make_shared<stream_pair>(
             stream_pair{this->proxy, std::move(client), tcp::socket{this->proxy.context}});
+        std::erase_if(this->pairs, [](const auto& each) { return each.expired(); });
+        this->pairs.push_back(pair);
         pair->server.async_connect(
             {this->listener.target, this->listener.target_port},
             [self = this->shared_from_this(), pair, source](const boost::system::error_code& failure) {
@@ -182,7 +216,17 @@
 
 void start_stream_link(link_proxy& proxy, const link_listener& listener)
 {
-    std::make_shared<stream_link>(proxy, listener)->accept();
+    const auto link = std::make_shared<stream_link>(proxy, listener);
+    link->accept();
+    proxy.listeners.emplace(listener.name, [link](bool accepts) { link->set_accepting(accepts); });
+}
+
+void set_accepting(link_proxy& proxy, const std::string& place, bool accepts)
+{
+    const auto [first, last] = proxy.listeners.equal_range(place);
+    for (auto each = first; each != last; ++each) {
+        each->second(accepts);
+    }
 }
 
 } // namespace hibiscusfall::standins
