Send requests that crash endpoints in the soak

The soak's endpoints failed, left and broke their answers, but none ended because of what it was sent.

Change: one more fault. Four callers send a request of one content again and again through all instances for 9 to 14 s: a plain one that may not be repeated, a GET or a stream. An endpoint that begins to run it ends all its connections, in half of the cases after the beginning of its answer, refuses new ones, and is back under a new start after 2 to 4 s. The fault overlaps with the others and with itself; in two of three cases the store is spared meanwhile, as without it no instance is in touch. It is the one that goes on while the others are healed.

Checked is that no more than three further endpoints are sent such a request by instances in touch, over a link that was not harmed, later than the contact time after it has crashed the third; and that no other request is told that it crashes endpoints. The summary counts crashes. The last parts of the sound streams' prompts were not hexadecimal, so that their prompts had no part of their own; they have now.

--- a/tests/soak/fault_driver.cpp
+++ b/tests/soak/fault_driver.cpp
@@ -1,5 +1,7 @@
 #include "fault_driver.hpp"
 
+#include "deadly_request.hpp"
+
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -18,7 +20,6 @@
 
 /// Bounds of the platform's pages, and what a busy machine adds to a process's start and a thread's turn.
 constexpr std::int64_t configuration_bound_ms = 2000 + 1000;
-constexpr std::int64_t contact_ms = 3000;
 constexpr auto graceful_limit = 8s;
 
 } // namespace
@@ -99,7 +100,7 @@
 
 void fault_driver::inject()
 {
-    static constexpr std::array<void (fault_driver::*)(), 14> kinds{&fault_driver::kill_entry,
+    static constexpr std::array<void (fault_driver::*)(), 15> kinds{&fault_driver::kill_entry,
                                                                     &fault_driver::pause_entry,
                                                                     &fault_driver::restart_entry,
                                                                     &fault_driver::hang_up_entry,
@@ -112,9 +113,14 @@
                                                                     &fault_driver::drain_endpoint,
                                                                     &fault_driver::change_configuration,
                                                                     &fault_driver::write_unreadable_entry,
-                                                                    &fault_driver::kill_all_entries};
-    const auto kind = static_cast<std::size_t>(this->between(0, kinds.size() - 1));
-    (this->*kinds[kind])();
+                                                                    &fault_driver::kill_all_entries,
+                                                                    &fault_driver::send_deadly_requests};
+    const auto kind = kinds[static_cast<std::size_t>(this->between(0, kinds.size() - 1))];
+    const bool harms_store = kind == &fault_driver::harm_store_link || kind == &fault_driver::trouble_store ||
+                             kind == &fault_driver::restore_store;
+    if (!harms_store || now_ms() >= this->store_spared_until_ms) {
+        (this->*kind)();
+    }
 }
 
 void fault_driver::check_exit(soak_entry& entry, bool graceful)
@@ -247,6 +253,8 @@
         rule.close_after_bytes = static_cast<std::uint64_t>(this->between(1, 800));
         break;
     }
+    endpoint.link_harmed_until_ms =
+        std::max(endpoint.link_harmed_until_ms.load(), now_ms() + length + contact_ms);
     this->say("harm the link to " + endpoint.id + " for " + std::to_string(length) + " ms");
     this->add_rule(rule, length);
 }
@@ -361,7 +369,7 @@
 void fault_driver::drain_endpoint()
 {
     auto& endpoint = this->any_endpoint();
-    if (endpoint.gone_since_ms > 0) {
+    if (endpoint.gone_since_ms > 0 || endpoint.down) {
         return;
     }
     const bool announced = this->between(0, 1) == 0;
@@ -443,4 +451,37 @@
     this->fleet.store.put("servers/odd &%-" + std::to_string(this->between(0, 3)), values[kind]);
 }
 
+void fault_driver::send_deadly_requests()
+{
+    static constexpr std::array<std::string_view, 3> routes{"/print", "/view", "/draft"};
+    const auto kind = static_cast<std::size_t>(this->between(0, routes.size() - 1));
+    const deadly_request request{.kind = static_cast<request_kind>(kind),
+                                 .team = this->between(0, 1) == 0 ? "huts" : "schools",
+                                 .target = std::string{routes[kind]} + std::string{deadly_mark} +
+                                           std::to_string(++this->deadly_requests)};
+    const auto length = this->between(9000, 14000);
+    this->say("requests to " + request.target + " crash endpoints for " + std::to_string(length) + " ms");
+    if (this->between(0, 2) > 0) {
+        this->store_spared_until_ms = now_ms() + length;
+    }
+    const auto stop = std::make_shared<std::atomic<bool>>(false);
+    const auto callers = std::make_shared<std::vector<std::thread>>();
+    constexpr int caller_count = 4;
+    for (int i = 0; i < caller_count; ++i) {
+        callers->emplace_back([this, request, stop, seed = this->random()] {
+            call_with(this->fleet, this->records, request, seed, *stop);
+        });
+    }
+    constexpr bool in_time = true;
+    this->later(
+        length,
+        [stop, callers] {
+            *stop = true;
+            for (auto& each : *callers) {
+                each.join();
+            }
+        },
+        in_time);
+}
+
 } // namespace hibiscusfall::soak
--- a/tests/soak/fault_driver.hpp
+++ b/tests/soak/fault_driver.hpp
@@ -50,6 +50,7 @@
     void drain_endpoint();
     void change_configuration();
     void write_unreadable_entry();
+    void send_deadly_requests();
 
     soak_entry& any_entry();
     platform_endpoint& any_endpoint();
@@ -65,6 +66,8 @@
     std::vector<standins::link_rule> rules;
     std::uint64_t count = 0;
     std::uint64_t probes = 0;
+    int deadly_requests = 0;
+    std::int64_t store_spared_until_ms = 0; ///< So that instances are in touch for a while.
 };
 
 } // namespace hibiscusfall::soak
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,5 +1,6 @@
 #include "ledger.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace hibiscusfall::soak
@@ -10,7 +11,8 @@
     return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
 }
 
-void ledger::note_sent(const std::string& id, request_kind kind, std::string team, std::string entry)
+void ledger::note_sent(
+    const std::string& id, request_kind kind, std::string team, std::string entry, bool deadly)
 {
     const std::lock_guard lock(this->mutex);
     this->records[id] = {.kind = kind,
@@ -18,6 +20,7 @@
                          .entry = std::move(entry),
                          .sent = std::chrono::steady_clock::now(),
                          .ended = {},
+                         .deadly = deadly,
                          .seen = {},
                          .endpoints = {}};
 }
@@ -44,6 +47,33 @@
     }
 }
 
+std::uint64_t
+ledger::note_crash(const std::string& target, const std::string& id, const std::string& endpoint, bool counts)
+{
+    constexpr std::uint64_t counted_from = 3;
+    constexpr std::uint64_t max_late = 3;
+    const std::lock_guard lock(this->mutex);
+    const auto now = std::chrono::steady_clock::now();
+    auto& crashes = this->crashes[target];
+    if (++crashes.endpoints == counted_from) {
+        crashes.third = now;
+    } else if (crashes.endpoints > counted_from && counts &&
+               now > crashes.third + std::chrono::milliseconds{contact_ms} && ++crashes.late > max_late) {
+        this->add("crashing",
+                  id,
+                  target + " crashed " + endpoint + ", the " + std::to_string(crashes.late) +
+                      "th after the bound and the " + std::to_string(crashes.endpoints) + "th of all");
+    }
+    return this->crash_count++;
+}
+
+std::string ledger::entry_of(const std::string& id) const
+{
+    const std::lock_guard lock(this->mutex);
+    const auto found_record = this->records.find(id);
+    return found_record == this->records.end() ? std::string{} : found_record->second.entry;
+}
+
 void ledger::note_end(const std::string& id, caller_view seen, bool excused)
 {
     const std::lock_guard lock(this->mutex);
@@ -74,6 +104,9 @@
     if ((seen.status == 503 || seen.status == 429) && !record.endpoints.empty()) {
         this->add("refused", id, "told not to have run, but ran at " + record.endpoints.front());
     }
+    if (!record.deadly && seen.body.find("crashes-endpoints") != std::string::npos) {
+        this->add("denied", id, "a sound request was told that it crashes endpoints: " + seen.body);
+    }
     if (seen.status == 401 || seen.status == 404 || seen.status == 400) {
         this->add("denied", id, "a proper request got " + std::to_string(seen.status));
     }
@@ -150,6 +183,14 @@
         text += " " + (status == 0 ? std::string{"unanswered"} : std::to_string(status)) + " " +
                 std::to_string(count);
     }
+    std::uint64_t most = 0;
+    std::uint64_t late = 0;
+    for (const auto& [target, each] : this->crashes) {
+        most = std::max(most, each.endpoints);
+        late = std::max(late, each.late);
+    }
+    text += ", crashes " + std::to_string(this->crash_count) + " by " + std::to_string(this->crashes.size()) +
+            " requests, most " + std::to_string(most) + ", late " + std::to_string(late);
     return text + ", broken promises " + std::to_string(this->found.size());
 }
 
--- a/tests/soak/ledger.hpp
+++ b/tests/soak/ledger.hpp
@@ -14,6 +14,9 @@
 
 using instant = std::chrono::steady_clock::time_point;
 
+/// @brief Time after which an instance without trouble knows what another one has seen.
+inline constexpr std::int64_t contact_ms = 3000;
+
 /// @brief What kind of request a caller sent.
 enum class request_kind : std::uint8_t { non_idempotent, idempotent, stream };
 
@@ -41,10 +44,18 @@
     instant sent{};
     instant ended{};
     bool finished = false;
+    bool deadly = false; ///< Whether it crashes the endpoints that run it.
     caller_view seen;
     std::vector<std::string> endpoints; ///< Where it ran, in order.
 };
 
+/// @brief Endpoints that requests of one content have crashed.
+struct crash_record {
+    std::uint64_t endpoints = 0;
+    std::uint64_t late = 0; ///< Those sent to by instances in touch, after the contact time after the third.
+    instant third{};
+};
+
 /// @brief A promise that was broken.
 struct broken_promise {
     std::string rule;
@@ -56,9 +67,19 @@
 class ledger
 {
 public:
-    void note_sent(const std::string& id, request_kind kind, std::string team, std::string entry);
+    void note_sent(
+        const std::string& id, request_kind kind, std::string team, std::string entry, bool deadly = false);
     void note_run(const std::string& id, const std::string& endpoint, const std::string& team);
 
+    /// @brief Notes that the request crashed the endpoint at which it began to run.
+    /// @param counts Whether the instance that sent it was in touch, and its link to the endpoint sound.
+    /// @returns How many crashes there were before it, of all requests.
+    std::uint64_t
+    note_crash(const std::string& target, const std::string& id, const std::string& endpoint, bool counts);
+
+    /// @brief The instance to which a caller sent a request; empty for an unknown one.
+    [[nodiscard]] std::string entry_of(const std::string& id) const;
+
     /// @param excused Whether the entry was stopped, paused or killed while the request was under way.
     void note_end(const std::string& id, caller_view seen, bool excused);
 
@@ -81,6 +102,8 @@
 
     mutable std::mutex mutex;
     std::map<std::string, request_record> records;
+    std::map<std::string, crash_record> crashes; ///< By target.
+    std::uint64_t crash_count = 0;
     std::vector<broken_promise> found;
     std::map<int, std::uint64_t> statuses;
 };
--- a/tests/soak/platform_endpoint.cpp
+++ b/tests/soak/platform_endpoint.cpp
@@ -93,8 +93,32 @@
     return fault == stream_fault::after_last_event ? end_connection(client) : client.end_chunks();
 }
 
+/// Crashes as soon as the request runs, or within its answer.
+bool run_deadly(connection& client, const std::string& target, platform_endpoint& self, const std::string& id)
+{
+    if (std::hash<std::string>{}(id) % 2 == 0) {
+        const auto headers = answer_headers(id, self);
+        if (self.engine) {
+            client.begin_chunks("text/event-stream", headers);
+            client.write_chunk(event_text(0, id));
+        } else {
+            client.write("HTTP/1.1 200 OK\r\nContent-Length: 200\r\n");
+            for (const auto& [name, value] : headers) {
+                client.write(name + ": " + value + "\r\n");
+            }
+            client.write("\r\nran");
+        }
+        std::this_thread::sleep_for(event_interval);
+    }
+    self.crash(self, id, target);
+    return end_connection(client);
+}
+
 bool run(connection& client, const http_request& request, platform_endpoint& self, ledger& records)
 {
+    if (self.down) {
+        return end_connection(client);
+    }
     if (self.faults.repeat_late && send_again && !send_again(client)) {
         return false;
     }
@@ -121,10 +145,17 @@
         return refuse(client, self, 503, {}) && send_again(client);
     }
     records.note_run(id, self.id, header_of(request, wire::team));
+    const std::string target{request.target().data(), request.target().size()};
+    if (target.find(deadly_mark) != std::string::npos) {
+        return run_deadly(client, target, self, id);
+    }
     if (self.engine) {
         return stream(client, request, self, id);
     }
     std::this_thread::sleep_for(8ms);
+    if (self.down) {
+        return end_connection(client);
+    }
     if (self.faults.lose_answers) {
         client.close();
         return false;
@@ -172,7 +203,7 @@
                           {"state", draining ? "draining" : "ready"},
                           {"cold-left-ms", 0},
                           {"sequence", 1},
-                          {"born", this->born_ms}}
+                          {"born", this->born_ms.load()}}
         .dump();
 }
 
--- a/tests/soak/platform_endpoint.hpp
+++ b/tests/soak/platform_endpoint.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -44,9 +45,13 @@
     std::uint16_t port = 0;
     std::uint16_t public_port = 0; ///< Of the proxy's link before it.
     bool engine = false;
-    std::int64_t born_ms = 1;
+    std::atomic<std::int64_t> born_ms{1};
     endpoint_faults faults;
     std::atomic<std::int64_t> gone_since_ms{0}; ///< When its leaving counts from; zero while it stays.
+    std::atomic<std::int64_t> link_harmed_until_ms{0};
+    std::atomic<bool> down{false}; ///< Whether it has crashed and is not back yet.
+    /// Ends it for a while because of the request with this id and target.
+    std::function<void(platform_endpoint&, const std::string&, const std::string&)> crash;
     standins::http_server_options server;
 
     /// @brief Serves on a thread of its own until the process ends.
@@ -56,6 +61,9 @@
     [[nodiscard]] std::string entry(bool draining) const;
 };
 
+/// @brief Part of the targets of requests that crash each endpoint that begins to run them.
+inline constexpr std::string_view deadly_mark = "/deadly-";
+
 /// @brief Milliseconds of the steady clock.
 [[nodiscard]] std::int64_t now_ms();
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -197,7 +197,8 @@
                           request_kind kind,
                           const std::string& id,
                           const std::string& key,
-                          int time_left_ms)
+                          int time_left_ms,
+                          const std::string& body)
 {
     std::string text =
         (kind == request_kind::idempotent ? "GET " : "POST ") + path + " HTTP/1.1\r\nHost: soak.example\r\n";
@@ -210,11 +211,14 @@
     if (kind == request_kind::stream) {
         add(wire::model, "m");
         add(wire::token_count, "900,72");
-        add(wire::prompt_parts, "aa:300,bb" + id.substr(0, 6) + ":600");
+        // The last part is the request's own, or that of all requests with its body.
+        auto own = body == "body" ? id.substr(0, 6) : std::to_string(std::hash<std::string>{}(body) % 100000);
+        std::replace(own.begin(), own.end(), 'x', 'e');
+        add(wire::prompt_parts, "aa:300,bb" + own + ":600");
     }
     if (kind != request_kind::idempotent) {
-        text += "Content-Length: 4\r\n\r\nbody";
-        return text;
+        add("Content-Length", std::to_string(body.size()));
+        return text + "\r\n" + body;
     }
     return text + "\r\n";
 }
--- a/tests/soak/soak_caller.hpp
+++ b/tests/soak/soak_caller.hpp
@@ -52,6 +52,7 @@
                                         request_kind kind,
                                         const std::string& id,
                                         const std::string& key,
-                                        int time_left_ms);
+                                        int time_left_ms,
+                                        const std::string& body = "body");
 
 } // namespace hibiscusfall::soak
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -98,6 +99,9 @@
     endpoint->host = this->endpoint_host;
     endpoint->port = testbed::find_free_port(endpoint->host);
     endpoint->engine = engine;
+    endpoint->crash = [this](auto& self, const auto& id, const auto& target) {
+        this->crash(self, id, target);
+    };
     platform_endpoint::start(endpoint, this->records);
     endpoint->public_port = testbed::find_free_port(endpoint->host);
     this->add_link(
@@ -135,9 +139,43 @@
         .program = this->options.entry_program,
         .arguments = {"--settings", (this->options.folder / (entry.name + ".ini")).string()},
         .log_file = log.string()});
+    entry.in_touch_from_ms = now_ms() + contact_ms;
     entry.stopping = false;
 }
 
+bool soak_fleet::in_touch(const std::string& entry) const
+{
+    const auto now = now_ms();
+    const auto found = std::find_if(
+        this->entries.begin(), this->entries.end(), [&](const auto& each) { return each->name == entry; });
+    return found != this->entries.end() && !(*found)->stopping && !(*found)->disturbed_since(now) &&
+           (*found)->in_touch_from_ms <= now && this->store_calm_since(now);
+}
+
+void soak_fleet::crash(platform_endpoint& endpoint, const std::string& id, const std::string& target)
+{
+    if (endpoint.down.exchange(true)) {
+        return;
+    }
+    const bool counts =
+        this->in_touch(this->records.entry_of(id)) && endpoint.link_harmed_until_ms < now_ms();
+    const auto number = this->records.note_crash(target, id, endpoint.id, counts);
+    const auto accept = [this, name = endpoint.id](bool accepts) {
+        boost::asio::post(this->proxy.context,
+                          [this, name, accepts] { standins::set_accepting(this->proxy, name, accepts); });
+    };
+    accept(false);
+    std::thread{[this, &endpoint, accept, number] {
+        std::this_thread::sleep_for(std::chrono::milliseconds{2000 + number * 700 % 2000});
+        ++endpoint.born_ms;
+        if (endpoint.gone_since_ms == 0) {
+            this->register_endpoint(endpoint);
+        }
+        endpoint.down = false;
+        accept(true);
+    }}.detach();
+}
+
 int soak_fleet::write_configuration()
 {
     const int number = ++this->version;
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -42,6 +42,7 @@
     int life = 0;
     std::atomic<bool> stopping{false};               ///< Whether it was told to end, or killed.
     std::atomic<std::int64_t> disturbed_until_ms{0}; ///< Until when its callers may see it cut or silent.
+    std::atomic<std::int64_t> in_touch_from_ms{0};   ///< The contact time after its start.
 
     [[nodiscard]] bool disturbed_since(std::int64_t from_ms) const
     {
@@ -70,6 +71,12 @@
     void register_endpoint(platform_endpoint& endpoint, bool draining = false);
     void remove_endpoint(platform_endpoint& endpoint);
 
+    /// @brief Ends an endpoint for 2 to 4 s because of a request, and notes that.
+    void crash(platform_endpoint& endpoint, const std::string& id, const std::string& target);
+
+    /// @brief Whether an instance ran for the contact time without any trouble of its own or of the store.
+    [[nodiscard]] bool in_touch(const std::string& entry) const;
+
     /// @brief Whether the store and the way to it were well since an instant.
     [[nodiscard]] bool store_calm_since(std::int64_t from_ms) const
     {
