Record each complete answer, so that it clears its request of a later crash

Cause: answers were recorded only once there were suspects. A request with the same content from many callers, answered until a crashing one took the whole service down, was in progress at each crash with no answer known, and was taken for the cause; the rejection then kept away the answer that would have cleared it.

Evidence: a_request_that_was_answered_just_before_its_endpoints_crash_together_is_not_rejected failed before, with 503 in place of 200.

--- a/include/hibiscusfall/dispatch/crash_attribution.hpp
+++ b/include/hibiscusfall/dispatch/crash_attribution.hpp
@@ -81,7 +81,7 @@
 inline constexpr std::size_t max_causes = 128;
 inline constexpr std::size_t max_suspect_traits = 32;
 
-/// @brief Whether crashes are being attributed, so that digests of requests are needed.
+/// @brief Whether crashes are being attributed. While none are, no request is suspect.
 [[nodiscard]] inline bool has_findings(const crash_attribution& state) noexcept
 {
     return !state.suspects.empty() || !state.causes.empty();
--- a/include/hibiscusfall/dispatch/request_traits.hpp
+++ b/include/hibiscusfall/dispatch/request_traits.hpp
@@ -13,7 +13,7 @@
 /// @remarks Ids of segments and digests are both 64 bits of a hash, and are compared as one kind of id.
 struct request_traits {
     std::vector<std::uint64_t> segments; ///< Sorted; segments of its prompt that other requests may share.
-    std::optional<std::uint64_t> digest; ///< Of the whole request; only needed while there are findings.
+    std::optional<std::uint64_t> digest; ///< Of the whole request; empty where it is not known.
 };
 
 /// @brief The traits of a request without its digest.
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -121,10 +121,6 @@
 
 void record_answer_end(request_state& state)
 {
-    const auto& crashes = state.server.fleet.crashes;
-    if (!dispatch::has_findings(crashes) && state.server.crashes->unconfirmed.empty()) {
-        return;
-    }
     const auto now = event_loop::now();
     const auto& traits = traits_of(state);
     apply_exonerations(state.server, dispatch::record_answer(state.server.fleet.crashes, traits, now), now);
