--- a/tests/relay/crash_clearing_test.cpp
+++ b/tests/relay/crash_clearing_test.cpp
@@ -226,4 +226,24 @@
     BOOST_TEST(fixture.ask(crashing_request(2)).starts_with("HTTP/1.1 200"));
 }
 
+BOOST_AUTO_TEST_CASE(a_request_is_found_that_ends_its_endpoints_after_its_attempts_have_timed_out)
+{
+    std::atomic<int> crashes{0};
+    const auto crash_late = [&](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            ++crashes;
+            std::this_thread::sleep_for(950ms);
+            connection.crash_endpoint();
+            return;
+        }
+    };
+    relay_fixture fixture{std::vector<scripted_endpoint::script>(12, crash_late),
+                          route_of(route_kind::idempotent, 2)};
+    for (int i = 0; i < 5; ++i) {
+        (void)fixture.ask(crashing_request(i));
+        std::this_thread::sleep_for(between_crashes);
+    }
+    BOOST_TEST(crashes <= 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
