Do not clear a request by a failure response of its endpoint

What callers saw in the test: a request crashed endpoints and was answered 500 by others in turn; 7 endpoints ended in 14 requests, and it was never rejected. Cause: each signed answer cleared its request, also a 500 or 504 of a faulty endpoint.

Change: only answers below 500 clear it. Weighed: a sound request that gets nothing but 500s stays suspect.

Evidence: a_request_is_not_cleared_by_the_failure_response_of_a_faulty_endpoint failed before.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -173,7 +173,7 @@
                              .body = std::move(parser.get().body())};
     const bool success = answer.status >= 200 && answer.status < 300;
     const bool is_answer = metadata.is_signed && !metadata.request_id.empty() && !metadata.not_run;
-    if (is_answer) {
+    if (is_answer && answer.status < 500) { // an endpoint that fails may have been spared by its failure
         record_answer_end(state);
     }
     if (!success || !is_answer) {
