Do not clear a request by the rest of a stream that was resumed

What callers saw in the test: a request crashed each endpoint at its third event and was resumed whole elsewhere; 8 of 8 endpoints ended. Cause: the resumed rest, which does not run the part that crashes, cleared the whole request.

Change: only a stream that ran from its start clears its request.

Evidence: a_request_is_not_cleared_by_the_rest_of_a_stream_that_is_resumed_behind_its_crash failed before.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -255,6 +255,7 @@
         connection->set_idle_timeout(*metadata.idle_timeout);
     }
     std::string piece;
+    const bool resumed = state.head_sent || !state.metadata.last_event_id.empty();
     auto progress =
         event_loop::now(); // time of the last complete event; comments and partial events do not count
     while (true) {
@@ -321,7 +322,9 @@
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
-    record_answer_end(state);
+    if (!resumed) {
+        record_answer_end(state);
+    }
     if (!state.head_sent) {
         co_await send_stream_head(state, parser.get());
     }
