Keep a cause whose suspects are displaced by those of other crashes

What callers would see: a failing domain cuts more requests than suspects are kept; a request that was held reached endpoints again. Cause: a cause that could not be derived again was taken back, also when its evidence had only been displaced.

Change: when suspects are displaced, the causes known stay until an answer clears them or their hold ends.

Evidence: a_cause_is_kept_when_a_failing_rack_displaces_its_suspects failed before.

--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -176,6 +176,10 @@
         return {};
     }
     if (state.suspects.size() >= max_suspects) {
+        // Without its suspects a cause could not be derived again, although no answer has cleared it.
+        for (auto& cause : state.causes) {
+            cause.confirmed = true;
+        }
         state.suspects.erase(std::min_element(
             state.suspects.begin(), state.suspects.end(), [](const crash_suspect& a, const crash_suspect& b) {
                 return a.crashed_at < b.crashed_at;
