Look for a crash behind an answer that cannot be read

What callers saw in the test: a request that ended its endpoints behind an unreadable head was never suspected; 8 of 8 ended. Cause: only attempts whose connection broke were looked into.

Change: an attempt with an unreadable answer is looked into as well.

Evidence: a_request_is_found_that_ends_its_endpoints_behind_an_answer_that_cannot_be_read failed before.

--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -286,8 +286,10 @@
             return;
         }
         const auto* endpoint = dispatch::find_endpoint(this->server.fleet, running.endpoint);
-        if (end.outcome.reason == failure::connection_broken && endpoint != nullptr) {
-            this->broken_starts += running.first_event_seen ? 0 : 1;
+        const bool broke = end.outcome.reason == failure::connection_broken;
+        const bool unreadable = end.outcome.reason == failure::garbled_answer;
+        if (endpoint != nullptr && (broke || unreadable)) {
+            this->broken_starts += broke && !running.first_event_seen ? 1 : 0;
             check_for_crash(this->state, *endpoint, running.first_event_seen);
         }
     }
