Do not take the end of an endpoint that had announced it for a crash

What callers saw in the test: a sound stream cut twice by endpoints that left as announced was rejected for a minute. Cause: an endpoint that has gone refuses connections as one that has crashed does.

Change: the end of an endpoint that had announced it makes no suspects of requests whose answers had begun. Those that waited still are, as a request may crash an endpoint that is leaving.

Evidence: a_sound_stream_that_is_cut_twice_by_endpoints_that_had_announced_their_end_is_not_rejected failed before.

--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -288,7 +288,10 @@
         const auto* endpoint = dispatch::find_endpoint(this->server.fleet, running.endpoint);
         const bool broke = end.outcome.reason == failure::connection_broken;
         const bool unreadable = end.outcome.reason == failure::garbled_answer;
-        if (endpoint != nullptr && (broke || unreadable)) {
+        // An endpoint that has announced its end breaks off what is still in progress.
+        const bool left = running.first_event_seen &&
+                          dispatch::is_departing(this->server.fleet.announced_departures, running.endpoint);
+        if (endpoint != nullptr && !left && (broke || unreadable)) {
             this->broken_starts += broke && !running.first_event_seen ? 1 : 0;
             check_for_crash(this->state, *endpoint, running.first_event_seen);
         }
