Recognise a request that comes again at each service by itself

Cause: the digest did not name the service.

Change: it does. A route that moves to another service costs two more crashes there before the request is held, within the three allowed.

Evidence: a_request_is_not_cleared_at_the_service_it_crashes_by_answers_of_the_routes_other_service failed before.

--- a/include/hibiscusfall/dispatch/request_digest.hpp
+++ b/include/hibiscusfall/dispatch/request_digest.hpp
@@ -11,6 +11,7 @@
 /// @brief What stays the same when a caller sends a request again.
 /// @remarks Its id, deadline and resume position differ each time, and proxies may change other headers.
 struct request_identity {
+    std::string_view service; ///< Of a route's services, the one that gets the request.
     std::string_view method;
     std::string_view host;
     std::string_view target; ///< Path and query.
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -461,7 +461,8 @@
 
 std::uint64_t digest_of(const request_state& state)
 {
-    return dispatch::digest_of({.method = to_view(state.request.method_string()),
+    return dispatch::digest_of({.service = state.service.view(),
+                                .method = to_view(state.request.method_string()),
                                 .host = state.route->host,
                                 .target = to_view(state.request.target()),
                                 .team = state.team_tag,
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -98,6 +98,8 @@
             }
         }
         this->state.team_tag = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
+        this->draw = digest(this->state.metadata.id);
+        this->state.service = catalog::choose_service(*this->state.route, this->draw);
         if (const auto* cause = find_crash_cause(this->state)) {
             return this->reject_for(*cause);
         }
@@ -180,8 +182,6 @@
     void prepare()
     {
         const auto& route = *this->state.route;
-        this->draw = digest(this->state.metadata.id);
-        this->state.service = catalog::choose_service(route, this->draw);
         this->state.timeout_at = this->latest_response_time();
         if (this->state.metadata.time_left) {
             this->state.waited =
