Do not take the end of a connection for the end of an answer that clears its request

Cause: the end that the crash made read as the whole of the answer, which cleared the request, and nothing was looked into.

Change: an answer that only the end of its connection delimits clears its request once the endpoint accepts another connection, and makes it a suspect if the endpoint refuses. Streams with an end mark, or with as many events as tokens asked for, clear it at once. The connection made for the check is of use to the next request, as the one before has ended.

Evidence: a_request_is_not_cleared_by_a_stream_without_length_that_its_crash_ends_between_events and a_request_is_not_cleared_by_an_answer_without_length_that_its_crash_ends failed before.

--- a/include/hibiscusfall/dispatch/crash_attribution.hpp
+++ b/include/hibiscusfall/dispatch/crash_attribution.hpp
@@ -92,6 +92,11 @@
 [[nodiscard]] std::vector<std::uint64_t>
 suspect_traits(const crash_attribution& state, const request_traits& request, core::instant now);
 
+/// @brief Records that an answer exonerates traits.
+/// @returns Those that were under suspicion, to be reported to the other instances.
+std::vector<std::uint64_t>
+exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now);
+
 /// @brief Records that the answer to a request has begun. This exonerates the segments of its prompt.
 /// @returns Traits that this exonerates, to be reported to the other instances.
 std::vector<std::uint64_t>
--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -112,20 +112,6 @@
     return traits;
 }
 
-trait_ids exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now)
-{
-    trait_ids exonerated;
-    for (const auto trait : traits) {
-        state.answered[trait] = now;
-        if (is_under_suspicion(state, trait)) {
-            state.exonerated[trait] = now;
-            exonerated.push_back(trait);
-        }
-    }
-    state.changed = state.changed || !exonerated.empty();
-    return exonerated;
-}
-
 bool concerns(const crash_cause& cause, const trait_ids& traits, team_tag team)
 {
     return cause.team.value_or(team) == team && contains_all(traits, cause.traits);
@@ -147,6 +133,21 @@
     return all_traits({.segments = std::move(traits), .digest = request.digest});
 }
 
+std::vector<std::uint64_t>
+exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now)
+{
+    trait_ids exonerated;
+    for (const auto trait : traits) {
+        state.answered[trait] = now;
+        if (is_under_suspicion(state, trait)) {
+            state.exonerated[trait] = now;
+            exonerated.push_back(trait);
+        }
+    }
+    state.changed = state.changed || !exonerated.empty();
+    return exonerated;
+}
+
 std::vector<std::uint64_t>
 record_start(crash_attribution& state, const request_traits& request, core::instant now)
 {
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -173,7 +173,8 @@
                              .body = std::move(parser.get().body())};
     const bool success = answer.status >= 200 && answer.status < 300;
     const bool is_answer = metadata.is_signed && !metadata.request_id.empty() && !metadata.not_run;
-    if (is_answer && answer.status < 500) { // an endpoint that fails may have been spared by its failure
+    // An endpoint that fails may have been spared by its failure, and the end of a connection may be a crash.
+    if (is_answer && answer.status < 500 && !parser.need_eof()) {
         record_answer_end(state);
     }
     if (!success || !is_answer) {
@@ -322,7 +323,7 @@
     if (!parser.get().keep_alive() || parser.need_eof()) {
         connection->broken = true;
     }
-    if (!resumed) {
+    if (!resumed && (!parser.need_eof() || scanner.progress.ended || has_every_token(state))) {
         record_answer_end(state);
     }
     if (!state.head_sent) {
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -66,7 +66,7 @@
 
 void record_crash(relay_server& server,
                   dispatch::endpoint_tag tag,
-                  const std::vector<dispatch::crash_suspect>& suspects)
+                  const std::vector<checked_attempt>& attempts)
 {
     const auto now = event_loop::now();
     ++server.counters.endpoint_crashes;
@@ -77,30 +77,43 @@
     }
     server.connections->close_idle(tag);
     telemetry::write(
-        telemetry::log_event{"endpoint_crashed"}.with("endpoint", id).with("suspects", suspects.size()));
-    for (const auto& suspect : suspects) {
+        telemetry::log_event{"endpoint_crashed"}.with("endpoint", id).with("suspects", attempts.size()));
+    for (const auto& [suspect, answered] : attempts) {
         server.activity.crash_suspects.push_back(suspect);
         report_exonerations(server, dispatch::record_suspect(server.fleet.crashes, suspect, now), now);
     }
     apply_cause_changes(server);
 }
 
+/// Clears the requests whose answers are whole, since their endpoint has not crashed.
+void clear_answered(relay_server& server, const std::vector<checked_attempt>& attempts)
+{
+    const auto now = event_loop::now();
+    for (const auto& [suspect, answered] : attempts) {
+        if (answered) {
+            const auto cleared = dispatch::exonerate(server.fleet.crashes, suspect.traits, now);
+            apply_exonerations(server, cleared, now);
+        }
+    }
+}
+
 asio::awaitable<void>
 confirm_crash(relay_server& server, dispatch::endpoint_tag tag, core::address address, std::string id)
 {
     auto probe = server.connections->make(tag);
     const auto error = co_await connect(probe, std::move(address), probe_limit);
-    const auto suspects = std::move(server.crashes->unconfirmed[tag]);
+    const auto attempts = std::move(server.crashes->unconfirmed[tag]);
     server.crashes->unconfirmed.erase(tag);
     if (error == asio::error::connection_refused) {
-        record_crash(server, tag, suspects);
+        record_crash(server, tag, attempts);
         co_return;
     }
     telemetry::write(telemetry::log_event{"endpoint_not_crashed"}
                          .with("endpoint", id)
-                         .with("cut", suspects.size())
+                         .with("cut", attempts.size())
                          .with("probe", error ? error.message() : "connected"));
     if (!error) {
+        clear_answered(server, attempts);
         probe->sent_all = true;
         server.connections->release(probe);
     }
@@ -126,22 +139,23 @@
     apply_exonerations(state.server, dispatch::record_answer(state.server.fleet.crashes, traits, now), now);
 }
 
-void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, bool answer_begun)
+void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, answer_state answer)
 {
     const auto now = event_loop::now();
     auto& server = state.server;
     auto traits = traits_of(state);
-    if (answer_begun) {
+    if (answer != answer_state::waiting) {
         traits.segments.clear();
     }
-    auto& suspects = server.crashes->unconfirmed[endpoint.tag];
-    const bool is_checked = !suspects.empty();
-    suspects.push_back({.endpoint = endpoint.tag,
-                        .team = state.team_tag,
-                        .traits = dispatch::suspect_traits(server.fleet.crashes, traits, now),
-                        .crashed_at = now,
-                        .answer_begun = answer_begun,
-                        .arrival = arrival_of(state)});
+    auto& attempts = server.crashes->unconfirmed[endpoint.tag];
+    const bool is_checked = !attempts.empty();
+    attempts.push_back({.suspect = {.endpoint = endpoint.tag,
+                                    .team = state.team_tag,
+                                    .traits = dispatch::suspect_traits(server.fleet.crashes, traits, now),
+                                    .crashed_at = now,
+                                    .answer_begun = answer != answer_state::waiting,
+                                    .arrival = arrival_of(state)},
+                        .answered = answer == answer_state::delivered});
     if (!is_checked) {
         asio::co_spawn(server.loop.context(),
                        confirm_crash(server, endpoint.tag, endpoint.entry.address, endpoint.entry.id.str()),
--- a/src/relay/crash_watch.hpp
+++ b/src/relay/crash_watch.hpp
@@ -13,10 +13,16 @@
 namespace hibiscusfall::relay::detail
 {
 
+/// @brief An attempt whose endpoint is checked.
+struct checked_attempt {
+    dispatch::crash_suspect suspect;
+    bool answered = false; ///< Whether its answer is whole if the endpoint has not crashed.
+};
+
 /// @brief Attempts whose answers have not begun, and broken ones whose endpoints are being checked.
 struct crash_watch {
     std::unordered_map<std::uint64_t, request_state*> waiting; ///< By the ticket of the attempt.
-    std::map<dispatch::endpoint_tag, std::vector<dispatch::crash_suspect>> unconfirmed;
+    std::map<dispatch::endpoint_tag, std::vector<checked_attempt>> unconfirmed;
     std::vector<dispatch::crash_cause> known_causes; ///< Of these the log has a line.
 };
 
@@ -26,10 +32,16 @@
 /// @brief Records that an endpoint has answered the request completely.
 void record_answer_end(request_state& state);
 
-/// @brief Checks whether an endpoint has crashed, after an attempt has broken. The attempt's request becomes
-/// a suspect if the endpoint refuses a connection.
-/// @param answer_begun Whether the attempt's answer had begun, which exonerates the segments of its prompt.
-void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, bool answer_begun);
+/// @brief How far the answer of an attempt had come when its connection ended.
+enum class answer_state : std::uint8_t {
+    waiting,
+    begun,    ///< This exonerates the segments of the prompt.
+    delivered ///< Nothing but the end of the connection shows that it is whole.
+};
+
+/// @brief Checks whether an endpoint has crashed, after an attempt has ended without an answer that is known
+/// to be whole. The attempt's request becomes a suspect if the endpoint refuses a connection.
+void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, answer_state answer);
 
 /// @brief Records that the request is sent to an endpoint, as a trial if it was rejected before.
 void record_sending(request_state& state, std::uint64_t ticket);
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -291,9 +291,14 @@
         // An endpoint that has announced its end breaks off what is still in progress.
         const bool left = running.first_event_seen &&
                           dispatch::is_departing(this->server.fleet.announced_departures, running.endpoint);
-        if (endpoint != nullptr && !left && (broke || unreadable)) {
+        if (endpoint != nullptr && !left && (broke || unreadable || end.ends_with_connection)) {
             this->broken_starts += broke && !running.first_event_seen ? 1 : 0;
-            check_for_crash(this->state, *endpoint, running.first_event_seen);
+            const bool ran = end.outcome.state == run_state::ran;
+            check_for_crash(this->state,
+                            *endpoint,
+                            ran                        ? answer_state::delivered
+                            : running.first_event_seen ? answer_state::begun
+                                                       : answer_state::waiting);
         }
     }
 
