--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -18,6 +18,8 @@
 
 /// An endpoint that has ended refuses connections within a round trip.
 constexpr core::duration probe_limit = std::chrono::milliseconds{400};
+/// Time in which an endpoint that crashes behind bytes that cannot be read stops accepting connections.
+constexpr core::duration crash_time = std::chrono::milliseconds{100};
 
 void report_exonerations(relay_server& server, std::span<const std::uint64_t> traits, core::instant at)
 {
@@ -97,9 +99,15 @@
     }
 }
 
-asio::awaitable<void>
-confirm_crash(relay_server& server, dispatch::endpoint_tag tag, core::address address, std::string id)
+asio::awaitable<void> confirm_crash(relay_server& server,
+                                    dispatch::endpoint_tag tag,
+                                    core::address address,
+                                    std::string id,
+                                    core::duration pause)
 {
+    if (pause > core::duration::zero()) {
+        co_await server.loop.sleep(pause);
+    }
     auto probe = server.connections->make(tag);
     const auto error = co_await connect(probe, std::move(address), probe_limit);
     const auto attempts = std::move(server.crashes->unconfirmed[tag]);
@@ -139,7 +147,10 @@
     apply_exonerations(state.server, dispatch::record_answer(state.server.fleet.crashes, traits, now), now);
 }
 
-void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, answer_state answer)
+void check_for_crash(request_state& state,
+                     const dispatch::endpoint_state& endpoint,
+                     answer_state answer,
+                     bool connection_ended)
 {
     const auto now = event_loop::now();
     auto& server = state.server;
@@ -158,7 +169,11 @@
                         .answered = answer == answer_state::delivered});
     if (!is_checked) {
         asio::co_spawn(server.loop.context(),
-                       confirm_crash(server, endpoint.tag, endpoint.entry.address, endpoint.entry.id.str()),
+                       confirm_crash(server,
+                                     endpoint.tag,
+                                     endpoint.entry.address,
+                                     endpoint.entry.id.str(),
+                                     connection_ended ? core::duration::zero() : crash_time),
                        server.loop.log_failure("confirm_crash"));
     }
 }
--- a/src/relay/crash_watch.hpp
+++ b/src/relay/crash_watch.hpp
@@ -41,7 +41,12 @@
 
 /// @brief Checks whether an endpoint has crashed, after an attempt has ended without an answer that is known
 /// to be whole. The attempt's request becomes a suspect if the endpoint refuses a connection.
-void check_for_crash(request_state& state, const dispatch::endpoint_state& endpoint, answer_state answer);
+/// @param connection_ended Whether the endpoint has ended the connection. Otherwise it is checked a little
+/// later, as it may be about to crash.
+void check_for_crash(request_state& state,
+                     const dispatch::endpoint_state& endpoint,
+                     answer_state answer,
+                     bool connection_ended);
 
 /// @brief Records that the request is sent to an endpoint, as a trial if it was rejected before.
 void record_sending(request_state& state, std::uint64_t ticket);
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -298,7 +298,8 @@
                             *endpoint,
                             ran                        ? answer_state::delivered
                             : running.first_event_seen ? answer_state::begun
-                                                       : answer_state::waiting);
+                                                       : answer_state::waiting,
+                            !unreadable);
         }
     }
 
