--- a/include/hibiscusfall/dispatch/crash_attribution.hpp
+++ b/include/hibiscusfall/dispatch/crash_attribution.hpp
@@ -26,6 +26,9 @@
     std::vector<std::uint64_t> traits; ///< Sorted; those that can be the cause.
     core::instant crashed_at{};
     bool answer_begun = false; ///< Whether its answer had begun, which makes it a less likely cause.
+    /// Tells the arrivals of requests at instances apart; zero if unknown. Crashes of attempts that an
+    /// instance made for one arrival count as one, as they follow each other whatever the cause is.
+    std::uint32_t arrival = 0;
 };
 
 /// @brief Traits to which crashes are attributed. Requests that have all of them are rejected.
@@ -78,7 +81,7 @@
 inline constexpr std::size_t max_causes = 128;
 inline constexpr std::size_t max_suspect_traits = 32;
 
-/// @brief Whether crashes are being attributed, so that digests of requests are needed.
+/// @brief Whether crashes are being attributed. While none are, no request is suspect.
 [[nodiscard]] inline bool has_findings(const crash_attribution& state) noexcept
 {
     return !state.suspects.empty() || !state.causes.empty();
@@ -89,6 +92,11 @@
 [[nodiscard]] std::vector<std::uint64_t>
 suspect_traits(const crash_attribution& state, const request_traits& request, core::instant now);
 
+/// @brief Records that an answer exonerates traits.
+/// @returns Those that were under suspicion, to be reported to the other instances.
+std::vector<std::uint64_t>
+exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now);
+
 /// @brief Records that the answer to a request has begun. This exonerates the segments of its prompt.
 /// @returns Traits that this exonerates, to be reported to the other instances.
 std::vector<std::uint64_t>
--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -59,6 +59,17 @@
     }
 }
 
+/// Times of one event that instances state differ by the time that their reports took, and by that of the
+/// reports from which they learned it.
+constexpr core::duration reported_time_tolerance = std::chrono::seconds{3};
+
+/// Takes over the time of a later event. The time of the same event is kept: with the later one of each
+/// report, instances that repeat it to each other would move it on.
+void take_later(core::instant& known, core::instant reported)
+{
+    known = reported > known + reported_time_tolerance ? reported : known;
+}
+
 /// Time until which all instances reject requests because of a cause.
 core::instant held_until(const crash_cause& cause)
 {
@@ -101,20 +112,6 @@
     return traits;
 }
 
-trait_ids exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now)
-{
-    trait_ids exonerated;
-    for (const auto trait : traits) {
-        state.answered[trait] = now;
-        if (is_under_suspicion(state, trait)) {
-            state.exonerated[trait] = now;
-            exonerated.push_back(trait);
-        }
-    }
-    state.changed = state.changed || !exonerated.empty();
-    return exonerated;
-}
-
 bool concerns(const crash_cause& cause, const trait_ids& traits, team_tag team)
 {
     return cause.team.value_or(team) == team && contains_all(traits, cause.traits);
@@ -136,6 +133,21 @@
     return all_traits({.segments = std::move(traits), .digest = request.digest});
 }
 
+std::vector<std::uint64_t>
+exonerate(crash_attribution& state, std::span<const std::uint64_t> traits, core::instant now)
+{
+    trait_ids exonerated;
+    for (const auto trait : traits) {
+        state.answered[trait] = now;
+        if (is_under_suspicion(state, trait)) {
+            state.exonerated[trait] = now;
+            exonerated.push_back(trait);
+        }
+    }
+    state.changed = state.changed || !exonerated.empty();
+    return exonerated;
+}
+
 std::vector<std::uint64_t>
 record_start(crash_attribution& state, const request_traits& request, core::instant now)
 {
@@ -165,6 +177,10 @@
         return {};
     }
     if (state.suspects.size() >= max_suspects) {
+        // Without its suspects a cause could not be derived again, although no answer has cleared it.
+        for (auto& cause : state.causes) {
+            cause.confirmed = true;
+        }
         state.suspects.erase(std::min_element(
             state.suspects.begin(), state.suspects.end(), [](const crash_suspect& a, const crash_suspect& b) {
                 return a.crashed_at < b.crashed_at;
@@ -214,8 +230,8 @@
     });
     if (known != state.causes.end()) {
         known->hold = std::max(known->hold, cause.hold);
-        known->last_crash = std::max(known->last_crash, cause.last_crash);
-        known->trial_sent = std::max(known->trial_sent, cause.trial_sent);
+        take_later(known->last_crash, cause.last_crash);
+        take_later(known->trial_sent, cause.trial_sent);
     } else if (exonerated.size() < cause.traits.size() &&
                detail::count_separate_crashes(suspects) < min_crashes) {
         add_cause(state, cause);
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -26,11 +26,6 @@
 using std::chrono::milliseconds;
 
 constexpr core::duration sweep_interval = milliseconds{25};
-/// Time for which new connections are accepted after a stop request: the load balancer needs two failed
-/// checks, one per second, to stop sending them.
-constexpr core::duration accept_grace_period = milliseconds{2600};
-/// The process exits this long before it would be killed.
-constexpr core::duration exit_margin = milliseconds{250};
 /// Time between the trials of two instances with segments that have crashed engines: longer than it takes
 /// until all know the result.
 constexpr core::duration trial_interval = std::chrono::seconds{1};
@@ -118,6 +113,7 @@
         });
     }
     this->last_sweep = event_loop::now();
+    this->sweep_before_last = this->last_sweep;
     this->loop.every(sweep_interval, [this](core::instant now) { this->sweep(now); });
     this->loop.every(milliseconds{100},
                      [this](core::instant now) { dispatch::advance(this->fleet.shares, now); });
@@ -141,7 +137,8 @@
         return;
     }
     this->shutting_down = true;
-    this->shutdown_started = event_loop::now();
+    // A loop behind its work sees a stop request late; the one before its last sweep would have been seen.
+    this->shutdown_started = this->acceptors ? this->sweep_before_last : event_loop::now();
     this->shutdown_callback = std::move(when_done);
 }
 
@@ -154,20 +151,21 @@
     this->fleet.shares.window = changed.share_window;
 }
 
-bool relay_server::shutdown_may_cut_streams(core::instant now) const noexcept
+std::optional<shutdown_schedule> relay_server::current_shutdown() const noexcept
 {
-    return this->shutting_down && now - this->shutdown_started >= accept_grace_period;
-}
-
-bool relay_server::may_end_before(core::instant limit) const noexcept
-{
-    return this->shutting_down &&
-           this->shutdown_started + this->options.shutdown_timeout - exit_margin < limit;
+    if (!this->shutting_down) {
+        return std::nullopt;
+    }
+    const auto lag_us = static_cast<core::duration::rep>(this->load.peak_lag_ms * 1000.0);
+    return shutdown_schedule{.requested = this->shutdown_started,
+                             .timeout = this->options.shutdown_timeout,
+                             .loop_lag = core::duration{lag_us}};
 }
 
 void relay_server::record_lag(core::instant now)
 {
     const auto due = this->last_sweep + time_to_next_tick(sweep_interval, this->last_sweep);
+    this->sweep_before_last = this->last_sweep;
     this->last_sweep = now;
     const bool changed =
         relay::record_lag(this->load, std::max(core::elapsed(due, now), core::duration::zero()), now);
@@ -184,23 +182,39 @@
 {
     this->record_lag(now);
     this->connections->sweep(now);
-    bool busy = false;
-    const bool closing = this->shutting_down && now - this->shutdown_started >= accept_grace_period;
     for (const auto& [raw, weak] : *this->sessions) {
         if (const auto session = weak.lock()) {
             session->sweep(now);
-            busy = busy || !session->idle(now);
         }
     }
-    if (!closing) {
+    if (this->shutting_down) {
+        this->sweep_shutdown(now);
+    }
+}
+
+void relay_server::sweep_shutdown(core::instant now)
+{
+    const auto stop = *this->current_shutdown();
+    if (now < connections_until(stop)) {
         return;
     }
+    const bool ending = now >= responses_until(stop);
+    bool busy = false;
     for (const auto& [raw, weak] : *this->sessions) {
-        if (const auto session = weak.lock()) {
-            session->close_if_idle(now);
+        const auto session = weak.lock();
+        if (!session) {
+            continue;
+        }
+        if (session->idle(now)) {
+            session->close_idle();
+            continue;
+        }
+        busy = true;
+        if (ending) {
+            session->end_request();
         }
     }
-    const bool forced = now - this->shutdown_started >= this->options.shutdown_timeout - exit_margin;
+    const bool forced = now >= process_end(stop);
     if (this->shutdown_callback && (!busy || forced)) {
         const auto finish = std::exchange(this->shutdown_callback, nullptr);
         telemetry::write(
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <utility>
@@ -82,7 +83,7 @@
     const standins::link_listener listener{.name = name,
                                            .source = source,
                                            .datagrams = false,
-                                           .listen = boost::asio::ip::make_address("127.0.0.1"),
+                                           .listen = boost::asio::ip::make_address(this->endpoint_host),
                                            .listen_port = listen,
                                            .target = boost::asio::ip::make_address(target.host),
                                            .target_port = target.port};
@@ -95,9 +96,12 @@
     endpoint->id = (engine ? "engine-" : "plain-") + std::to_string(number);
     endpoint->service = engine ? "draft" : "desk";
     endpoint->domain = domain_of(number);
-    endpoint->host = "127.0.0.1";
+    endpoint->host = this->endpoint_host;
     endpoint->port = testbed::find_free_port(endpoint->host);
     endpoint->engine = engine;
+    endpoint->crash = [this](auto& self, const auto& id, const auto& target) {
+        this->crash(self, id, target);
+    };
     platform_endpoint::start(endpoint, this->records);
     endpoint->public_port = testbed::find_free_port(endpoint->host);
     this->add_link(
@@ -114,15 +118,15 @@
     entry->host = this->block.host(first_host + number);
     entry->callers = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
     entry->readiness = {.host = entry->host, .port = testbed::find_free_port(entry->host)};
-    entry->store_port = testbed::find_free_port("127.0.0.1");
+    entry->store_port = testbed::find_free_port(this->endpoint_host);
     this->add_link("store", entry->name, entry->store_port, this->store.address());
     std::ofstream{this->options.folder / (entry->name + ".ini")}
         << "[instance]\nid = " << entry->name << "\nfailure_domain = " << domain_of(number)
         << "\n[listen]\ncallers = " << core::to_string(entry->callers)
         << "\nreadiness = " << core::to_string(entry->readiness) << "\ninner = " << entry->host << ":"
         << this->inner_port << "\n[peers]\nseeds = " << this->block.host(first_host) << ":1, "
-        << this->block.host(first_host + 1) << ":1\n[store]\naddress = 127.0.0.1:" << entry->store_port
-        << "\n[shutdown]\nlimit_s = 6\n";
+        << this->block.host(first_host + 1) << ":1\n[store]\naddress = " << this->endpoint_host << ":"
+        << entry->store_port << "\n[shutdown]\nlimit_s = 6\n";
     this->entries.push_back(std::move(entry));
     this->start_entry(*this->entries.back());
 }
@@ -135,9 +139,43 @@
         .program = this->options.entry_program,
         .arguments = {"--settings", (this->options.folder / (entry.name + ".ini")).string()},
         .log_file = log.string()});
+    entry.in_touch_from_ms = now_ms() + contact_ms;
     entry.stopping = false;
 }
 
+bool soak_fleet::in_touch(const std::string& entry) const
+{
+    const auto now = now_ms();
+    const auto found = std::find_if(
+        this->entries.begin(), this->entries.end(), [&](const auto& each) { return each->name == entry; });
+    return found != this->entries.end() && !(*found)->stopping && !(*found)->disturbed_since(now) &&
+           (*found)->in_touch_from_ms <= now && this->store_calm_since(now);
+}
+
+void soak_fleet::crash(platform_endpoint& endpoint, const std::string& id, const std::string& target)
+{
+    if (endpoint.down.exchange(true)) {
+        return;
+    }
+    const bool counts =
+        this->in_touch(this->records.entry_of(id)) && endpoint.link_harmed_until_ms < now_ms();
+    const auto number = this->records.note_crash(target, id, endpoint.id, counts);
+    const auto accept = [this, name = endpoint.id](bool accepts) {
+        boost::asio::post(this->proxy.context,
+                          [this, name, accepts] { standins::set_accepting(this->proxy, name, accepts); });
+    };
+    accept(false);
+    std::thread{[this, &endpoint, accept, number] {
+        std::this_thread::sleep_for(std::chrono::milliseconds{2000 + number * 700 % 2000});
+        ++endpoint.born_ms;
+        if (endpoint.gone_since_ms == 0) {
+            this->register_endpoint(endpoint);
+        }
+        endpoint.down = false;
+        accept(true);
+    }}.detach();
+}
+
 int soak_fleet::write_configuration()
 {
     const int number = ++this->version;
