Let a third crash decide also where one of two requests had begun its answer

Cause: a request whose answer had begun was no rival to one that waited, so that two crashes blamed the waiting one.

Change: the mark is taken out, with its fields of suspects and reports. Two requests in the same two crashes wait for a third. What the mark was made for, a stream that its instance resumes into the second crash, counts once since arrivals are named.

Evidence: a_waiting_request_is_not_blamed_for_crashes_of_one_whose_answer_had_begun failed with the mark.

--- a/include/hibiscusfall/dispatch/crash_attribution.hpp
+++ b/include/hibiscusfall/dispatch/crash_attribution.hpp
@@ -25,7 +25,6 @@
     team_tag team = 0;
     std::vector<std::uint64_t> traits; ///< Sorted; those that can be the cause.
     core::instant crashed_at{};
-    bool answer_begun = false; ///< Whether its answer had begun, which makes it a less likely cause.
     /// Tells the arrivals of requests at instances apart; zero if unknown. Crashes of attempts that an
     /// instance made for one arrival count as one, as they follow each other whatever the cause is.
     std::uint32_t arrival = 0;
--- a/include/hibiscusfall/peers/load_report.hpp
+++ b/include/hibiscusfall/peers/load_report.hpp
@@ -46,10 +46,9 @@
     dispatch::endpoint_tag endpoint = 0;
     dispatch::team_tag team = 0;
     std::vector<std::uint64_t> traits{};
-    std::uint32_t age_ms = 0; ///< Time since the crash.
-    bool answer_begun = false;
+    std::uint32_t age_ms = 0;  ///< Time since the crash.
     std::uint32_t arrival = 0; ///< Of the request at the sender; zero if unknown.
-    MSGPACK_DEFINE(endpoint, team, traits, age_ms, answer_begun, arrival)
+    MSGPACK_DEFINE(endpoint, team, traits, age_ms, arrival)
 };
 
 /// @brief A trait that an answer shows not to be the cause of a crash of which it was suspected.
--- a/src/dispatch/crash_attribution.cpp
+++ b/src/dispatch/crash_attribution.cpp
@@ -163,17 +163,12 @@
 std::vector<std::uint64_t>
 record_suspect(crash_attribution& state, const crash_suspect& suspect, core::instant now)
 {
-    const auto known =
-        std::find_if(state.suspects.begin(), state.suspects.end(), [&](const crash_suspect& each) {
+    const bool known =
+        std::any_of(state.suspects.begin(), state.suspects.end(), [&](const crash_suspect& each) {
             return each.endpoint == suspect.endpoint && each.team == suspect.team &&
                    each.traits == suspect.traits;
         });
-    if (known != state.suspects.end()) {
-        state.changed = state.changed || (known->answer_begun && !suspect.answer_begun);
-        known->answer_begun = known->answer_begun && suspect.answer_begun;
-        return {};
-    }
-    if (suspect.traits.empty() || suspect.crashed_at + suspect_retention <= now) {
+    if (known || suspect.traits.empty() || suspect.crashed_at + suspect_retention <= now) {
         return {};
     }
     if (state.suspects.size() >= max_suspects) {
--- a/src/dispatch/crash_causes.cpp
+++ b/src/dispatch/crash_causes.cpp
@@ -69,7 +69,6 @@
     std::vector<const open_suspect*> suspects;
     crash_cause cause{};
     std::vector<endpoint_tag> endpoints{}; ///< Sorted.
-    bool answer_begun = false;             ///< Whether that of any of the suspects had.
 };
 
 /// Derives a candidate's members from its suspects. Without any it has no crashes.
@@ -77,10 +76,8 @@
 {
     each.cause = each.suspects.empty() ? crash_cause{} : common_cause(each.suspects);
     each.endpoints.clear();
-    each.answer_begun = false;
     for (const auto* suspect : each.suspects) {
         each.endpoints.push_back(suspect->suspect->endpoint);
-        each.answer_begun = each.answer_begun || suspect->suspect->answer_begun;
     }
     std::sort(each.endpoints.begin(), each.endpoints.end());
     each.endpoints.erase(std::unique(each.endpoints.begin(), each.endpoints.end()), each.endpoints.end());
@@ -133,8 +130,7 @@
     return index;
 }
 
-/// Whether another cause is as likely for some of a candidate's crashes. A third crash decides. Endpoints
-/// crash when they begin to run a request, so one whose answer had begun is less likely than one that waited.
+/// Whether another cause is as likely for some of a candidate's crashes. A third crash decides.
 bool is_ambiguous(const candidate& each, const candidates_by_endpoint& index)
 {
     const auto& traits = each.cause.traits;
@@ -142,7 +138,7 @@
            std::any_of(each.endpoints.begin(), each.endpoints.end(), [&](endpoint_tag endpoint) {
                const auto& others = index.at(endpoint);
                return std::any_of(others.begin(), others.end(), [&](const candidate* other) {
-                   return is_established(*other) && (each.answer_begun || !other->answer_begun) &&
+                   return is_established(*other) &&
                           !std::binary_search(traits.begin(), traits.end(), other->trait);
                });
            });
--- a/src/peers/load_report.cpp
+++ b/src/peers/load_report.cpp
@@ -154,7 +154,6 @@
                                         .team = each.team,
                                         .traits = each.traits,
                                         .crashed_at = now - milliseconds{each.age_ms},
-                                        .answer_begun = each.answer_begun,
                                         .arrival = each.arrival};
         std::sort(suspect.traits.begin(), suspect.traits.end());
         suspect.traits.resize(std::min(suspect.traits.size(), dispatch::max_suspect_traits));
--- a/src/peers/own_report.cpp
+++ b/src/peers/own_report.cpp
@@ -110,7 +110,6 @@
                                            .team = each.team,
                                            .traits = each.traits,
                                            .age_ms = to_milliseconds(core::elapsed(each.crashed_at, now)),
-                                           .answer_begun = each.answer_begun,
                                            .arrival = each.arrival});
     }
     auto exonerated =
--- a/src/relay/crash_watch.cpp
+++ b/src/relay/crash_watch.cpp
@@ -164,7 +164,6 @@
                                     .team = state.team_tag,
                                     .traits = dispatch::suspect_traits(server.fleet.crashes, traits, now),
                                     .crashed_at = now,
-                                    .answer_begun = answer != answer_state::waiting,
                                     .arrival = arrival_of(state)},
                         .answered = answer == answer_state::delivered});
     if (!is_checked) {
