--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -120,12 +120,13 @@
     std::vector<std::unique_ptr<worker>> workers;
     std::vector<worker*> writers;
     for (int i = 1; i <= 2; ++i) {
-        workers.push_back(std::make_unique<worker>(worker_options{.id = "w" + std::to_string(i),
-                                                                  .service = "roll-desk",
-                                                                  .ip = addresses.ip(100 + i),
-                                                                  .zone = i == 1 ? "mu-a" : "mu-b"},
-                                                   runs,
-                                                   answer));
+        workers.push_back(
+            std::make_unique<worker>(worker_options{.id = "w" + std::to_string(i),
+                                                    .service = "roll-desk",
+                                                    .ip = addresses.ip(100 + i),
+                                                    .zone = i == 1 ? "mu-north-a" : "mu-north-b"},
+                                     runs,
+                                     answer));
         workers.back()->start();
         writers.push_back(workers.back().get());
         store.put("servers/" + workers.back()->options.id, workers.back()->entry());
@@ -134,7 +135,8 @@
     const heartbeat beats{store, writers};
     std::vector<std::unique_ptr<machine>> machines;
     std::vector<machine*> all;
-    for (const auto& values : deployment(addresses, {"mu-a", "mu-b"}, core::to_string(store.address()))) {
+    for (const auto& values :
+         deployment(addresses, {"mu-north-a", "mu-north-b"}, core::to_string(store.address()))) {
         machines.push_back(std::make_unique<machine>(root, files, values));
         machines.back()->start();
         all.push_back(machines.back().get());
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -37,15 +37,16 @@
     std::vector<worker*> writers;
     // Two workers of each software version.
     for (int i = 1; i <= 4; ++i) {
-        workers.push_back(std::make_unique<worker>(worker_options{.id = "w" + std::to_string(i),
-                                                                  .service = "hib-draft",
-                                                                  .ip = addresses.ip(100 + i),
-                                                                  .zone = i % 2 == 1 ? "mu-a" : "mu-b",
-                                                                  .version = i <= 2 ? "1.0" : "2.0",
-                                                                  .slots = 64,
-                                                                  .queue = 128},
-                                                   runs,
-                                                   work));
+        workers.push_back(
+            std::make_unique<worker>(worker_options{.id = "w" + std::to_string(i),
+                                                    .service = "hib-draft",
+                                                    .ip = addresses.ip(100 + i),
+                                                    .zone = i % 2 == 1 ? "mu-north-a" : "mu-north-b",
+                                                    .version = i <= 2 ? "1.0" : "2.0",
+                                                    .slots = 64,
+                                                    .queue = 128},
+                                     runs,
+                                     work));
         workers.back()->start();
         writers.push_back(workers.back().get());
         store.put("servers/" + workers.back()->options.id, workers.back()->entry());
@@ -54,8 +55,8 @@
     heartbeat beats{store, writers};
     std::vector<std::unique_ptr<machine>> machines;
     std::vector<machine*> all;
-    for (const auto& values :
-         deployment(addresses, {"mu-a", "mu-b", "mu-b"}, core::to_string(store.address()))) {
+    for (const auto& values : deployment(
+             addresses, {"mu-north-a", "mu-north-b", "mu-north-b"}, core::to_string(store.address()))) {
         machines.push_back(std::make_unique<machine>(root, files, values));
         machines.back()->start();
         all.push_back(machines.back().get());
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -216,10 +216,11 @@
         seeds += (seeds.empty() ? "" : ",") + addresses.ip(i) + ":8785";
     }
     std::vector<std::map<std::string, std::string>> machines;
+    std::map<std::string, int> numbers;
     for (int i = 1; i <= count; ++i) {
         const auto ip = addresses.ip(i);
         const auto& zone = zones[static_cast<std::size_t>(i) - 1];
-        machines.push_back({{"node-name", "front-" + zone + "-" + std::to_string(i)},
+        machines.push_back({{"node-name", "front-" + zone + "-" + std::to_string(++numbers[zone])},
                             {"zone", zone},
                             {"limits.cpu-share", "0.25"},
                             {"bind.front", ip + ":8783"},
