--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -23,10 +24,10 @@
 constexpr auto config_apply = 2000ms; // config-apply-ms of the sheet
 constexpr auto freeze_time = 3200ms;  // node_freeze has for_s 5 if nothing else is said
 constexpr auto contact = 3000ms;      // contact-ms of the sheet
-constexpr int max_changes = 15;
-constexpr double first_ms =
-    42; // of the freeze after the acknowledgement: the stand-in of the store takes 40 ms to tell
-constexpr double last_ms = 68;
+constexpr auto back_time = 1500ms;    // after it, the machine reads the store again
+constexpr int max_changes = 20;
+/// The machine stands still at a random moment within this time after the store has told it of the change.
+constexpr double reaction_ms = 26;
 constexpr int clients_each = 3; // usual clients of a machine
 
 json configuration(int version, const std::string& key)
@@ -89,6 +90,39 @@
     return client.status;
 }
 
+/// How long the stand-in of the store takes to tell a watch of a change, in ms: the median of some watches on
+/// a connection that is kept as those of the machines are.
+double notice_time(testing::platform_store& store)
+{
+    constexpr int warm_up = 30; // a fresh connection acknowledges at once, a kept one after some 40 ms
+    constexpr int measured = 9;
+    const auto address = store.address();
+    caller watch{address.host, address.port};
+    watch.connect();
+    std::uint64_t revision = 0;
+    std::vector<double> times;
+    for (int i = 0; i < warm_up + measured; ++i) {
+        const auto limit = clock::now() + 2s;
+        const auto call = [&](int wait_ms) {
+            return watch.send("GET /api/kv-watch?path-prefix=probe/&after=" + std::to_string(revision) +
+                              "&wait-ms=" + std::to_string(wait_ms) + " HTTP/1.1\r\nHost: store\r\n\r\n");
+        };
+        call(1000);
+        std::this_thread::sleep_for(10ms);
+        store.put("probe/x", std::to_string(i));
+        const auto changed = clock::now();
+        if (!watch.read_head(limit) || !watch.read_body(limit)) {
+            return 0;
+        }
+        if (i >= warm_up) {
+            times.push_back(std::chrono::duration<double, std::milli>(clock::now() - changed).count());
+        }
+        revision = json::parse(watch.body).at("as-of").get<std::uint64_t>();
+    }
+    std::sort(times.begin(), times.end());
+    return times[times.size() / 2];
+}
+
 /// What the requests of one change met, sent later than config-apply-ms after its acknowledgement.
 struct late_requests {
     int sent = 0;
@@ -194,6 +228,8 @@
     std::vector<machine*> calm;
     std::copy_if(
         all.begin(), all.end(), std::back_inserter(calm), [&](auto* each) { return each != frozen; });
+    const double notice_ms = notice_time(store);
+    lines.line("the store tells of a change after " + std::to_string(notice_ms) + " ms");
     std::minstd_rand random{std::random_device{}()};
     late_requests total;
     int changes = 0;
@@ -201,7 +237,7 @@
     while (frozen != nullptr && changes < max_changes && broken_changes == 0) {
         ++changes;
         ++version;
-        const double after_ms = std::uniform_real_distribution<double>{first_ms, last_ms}(random);
+        const double after_ms = notice_ms + std::uniform_real_distribution<double>{0, reaction_ms}(random);
         store.put("op/config", configuration(version, "key" + std::to_string(version)).dump());
         const auto acknowledged = clock::now();
         lines.line("the store acknowledged version " + std::to_string(version));
@@ -219,7 +255,7 @@
         broken_changes += seen.old_key_served + seen.new_key_refused > 0 ? 1 : 0;
         std::this_thread::sleep_until(acknowledged + freeze_time);
         frozen->signal(SIGCONT);
-        std::this_thread::sleep_for(contact + 200ms); // all machines are in touch again
+        std::this_thread::sleep_for(back_time);
     }
     stopping = true;
     for (auto& each : traffic) {
--- a/review/standins/fleet.cpp
+++ b/review/standins/fleet.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <fstream>
 #include <iterator>
 #include <random>
@@ -64,6 +65,39 @@
     }
 }
 
+/// Processes that run, for a case that is ended by a signal.
+std::array<std::atomic<pid_t>, 64> processes{};
+
+extern "C" void end_all(int)
+{
+    for (const auto& each : processes) {
+        if (each > 0) {
+            ::kill(each, SIGKILL);
+        }
+    }
+    ::_exit(could_not_run);
+}
+
+void note_start(pid_t process)
+{
+    std::signal(SIGTERM, end_all);
+    std::signal(SIGINT, end_all);
+    for (auto& each : processes) {
+        pid_t none = 0;
+        if (each.compare_exchange_strong(none, process)) {
+            return;
+        }
+    }
+}
+
+void note_end(pid_t process)
+{
+    for (auto& each : processes) {
+        pid_t ended = process;
+        each.compare_exchange_strong(ended, 0);
+    }
+}
+
 /// The program that the deploy file names.
 std::string program_of(const std::string& root)
 {
@@ -140,6 +174,7 @@
         this->process = -1;
         throw std::runtime_error("cannot start " + program);
     }
+    note_start(this->process);
 }
 
 void machine::signal(int number) const
@@ -157,6 +192,7 @@
     ::kill(this->process, SIGKILL);
     int status = 0;
     ::waitpid(this->process, &status, 0);
+    note_end(this->process);
     this->process = -1;
 }
 
@@ -167,6 +203,7 @@
     }
     int status = 0;
     if (::waitpid(this->process, &status, WNOHANG) == this->process) {
+        note_end(this->process);
         this->process = -1;
     }
     return this->process > 0;
