Require a key as long as the configuration names teams

Cause: the relay asked for a key only while its table of keys was not empty, and so took a configuration whose teams have no key for one without teams. Ruled out: an old version in force (keys that were never held ran too), teams lost in decoding (they are kept).

Change: route_table::anonymous says that the configuration has no list of teams; check_key decides by it, without network. The default of a table is to ask for keys. A list of teams that is empty or no list asks for keys as well.

Why it works: whether a key is needed does not depend any more on which keys there are.

--- a/include/hibiscusfall/catalog/route_table.hpp
+++ b/include/hibiscusfall/catalog/route_table.hpp
@@ -91,6 +91,7 @@
     std::map<core::service_id, service> services;
     std::vector<team> teams;
     std::unordered_map<std::string, std::size_t> api_keys; ///< Maps an API key to an index into @c teams.
+    bool anonymous = false; ///< Whether no request needs an API key: the configuration has no list of teams.
     request_limits limits;
     std::unordered_map<std::string, std::vector<std::size_t>>
         routes_by_host; ///< Indexes into @c routes, longest prefix first.
@@ -106,6 +107,15 @@
 /// @brief Finds the team that owns an API key; null if there is none.
 [[nodiscard]] const team* find_team(const route_table& table, std::string_view key);
 
+/// @brief Result of the check of an API key.
+struct key_check {
+    bool accepted = false;
+    const team* owner = nullptr; ///< Null if the request needs no key.
+};
+
+/// @brief Checks the API key of a request to a route. A configuration whose teams have no key accepts none.
+[[nodiscard]] key_check check_key(const route_table& table, const route& target, std::string_view key);
+
 /// @brief Finds the engine properties of a service; null for plain and unknown services.
 [[nodiscard]] const engine_properties* find_engine(const route_table& table, const core::service_id& service);
 
--- a/src/catalog/route_table.cpp
+++ b/src/catalog/route_table.cpp
@@ -58,6 +58,15 @@
     return found == table.api_keys.end() ? nullptr : &table.teams[found->second];
 }
 
+key_check check_key(const route_table& table, const route& target, std::string_view key)
+{
+    if (target.anonymous || table.anonymous) {
+        return {.accepted = true};
+    }
+    const auto* owner = find_team(table, key);
+    return {.accepted = owner != nullptr, .owner = owner};
+}
+
 const engine_properties* find_engine(const route_table& table, const core::service_id& service)
 {
     const auto found = table.services.find(service);
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -109,12 +109,12 @@
         if (this->state.route == nullptr) {
             return this->unknown(404, "unknown-path", "no route has this host and path");
         }
-        if (!this->state.route->anonymous && !this->state.table->api_keys.empty()) {
-            this->state.team = catalog::find_team(*this->state.table, this->state.metadata.credential);
-            if (this->state.team == nullptr) {
-                return this->unknown(401, "unauthorized", "no team has this key");
-            }
+        const auto key =
+            catalog::check_key(*this->state.table, *this->state.route, this->state.metadata.credential);
+        if (!key.accepted) {
+            return this->unknown(401, "unauthorized", "no team has this key");
         }
+        this->state.team = key.owner;
         this->state.team_tag = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
         // A stream that is taken up goes to the service that the request got with which it began.
         const auto& metadata = this->state.metadata;
--- a/tests/adapter/decoding_test.cpp
+++ b/tests/adapter/decoding_test.cpp
@@ -62,6 +62,53 @@
     BOOST_TEST(catalog::find_team(*table, "k2")->id.view() == "t1");
 }
 
+// A configuration whose last key was removed served every caller, with any key or none.
+BOOST_AUTO_TEST_CASE(a_configuration_whose_teams_have_no_key_accepts_no_key)
+{
+    const std::string tenants = R"([{"name":"t1","api-keys":["k1","k2"],"priority":1}])";
+    for (const char* keyless : {R"([{"name":"t1","api-keys":[],"priority":1}])",
+                                R"([{"name":"t1","api-keys":[]},{"name":"t2","api-keys":[]}])",
+                                R"([{"name":"t1","api-keys":null}])",
+                                "[]",
+                                "null"}) {
+        std::string problem;
+        const auto table = adapter::read_configuration(replaced(configuration, tenants, keyless), problem);
+        BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+        const auto& with_key = *catalog::find_route(*table, "a.example", "/x/1");
+        const auto& without_key = *catalog::find_route(*table, "a.example", "/y/1");
+        for (const char* key : {"k1", "never", ""}) {
+            BOOST_TEST_CONTEXT(keyless << " with the key '" << key << "'")
+            {
+                BOOST_TEST(!catalog::check_key(*table, with_key, key).accepted);
+                BOOST_TEST(catalog::check_key(*table, without_key, key).accepted);
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_without_teams_needs_no_key)
+{
+    std::string problem;
+    const auto table =
+        adapter::read_configuration(replaced(configuration, "\"tenants\"", "\"other\""), problem);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+    const auto check = catalog::check_key(*table, *catalog::find_route(*table, "a.example", "/x/1"), "");
+    BOOST_TEST(check.accepted);
+    BOOST_TEST(check.owner == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_team_without_keys_does_not_lock_out_the_others)
+{
+    std::string problem;
+    const auto table = adapter::read_configuration(
+        replaced(configuration, R"("tenants":[)", R"("tenants":[{"name":"t0","api-keys":[]},)"), problem);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+    const auto& route = *catalog::find_route(*table, "a.example", "/x/1");
+    BOOST_TEST(catalog::check_key(*table, route, "k1").owner->id.view() == "t1");
+    BOOST_TEST(!catalog::check_key(*table, route, "never").accepted);
+    BOOST_TEST(!catalog::check_key(*table, route, "").accepted);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_kind_is_treated_as_the_strictest)
 {
     std::string problem;
--- a/tests/catalog/route_table_test.cpp
+++ b/tests/catalog/route_table_test.cpp
@@ -78,4 +78,15 @@
     BOOST_TEST(catalog::find_team(table, "") == nullptr);
 }
 
+// A table that holds no key must not be taken for one that needs none.
+BOOST_AUTO_TEST_CASE(a_table_without_keys_accepts_no_key_unless_it_is_anonymous)
+{
+    catalog::route_table table;
+    BOOST_TEST(!catalog::check_key(table, catalog::route{}, "").accepted);
+    BOOST_TEST(!catalog::check_key(table, catalog::route{}, "secret").accepted);
+    BOOST_TEST(catalog::check_key(table, catalog::route{.anonymous = true}, "").accepted);
+    table.anonymous = true;
+    BOOST_TEST(catalog::check_key(table, catalog::route{}, "").accepted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
