--- a/tests/adapter/decoding_test.cpp
+++ b/tests/adapter/decoding_test.cpp
@@ -86,6 +86,40 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(an_empty_key_does_not_stand_for_requests_without_a_key)
+{
+    std::string problem;
+    const auto table =
+        adapter::read_configuration(replaced(configuration, R"(["k1","k2"])", R"(["","k2"])"), problem);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+    const auto& route = *catalog::find_route(*table, "a.example", "/x/1");
+    BOOST_TEST(!catalog::check_key(*table, route, "").accepted);
+    BOOST_TEST(catalog::check_key(*table, route, "k2").accepted);
+    BOOST_TEST(problem.find("API key") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_odd_key_does_not_keep_a_withdrawn_one_valid)
+{
+    for (const char* keys : {R"([7,"k2"])", R"([null,"k2"])", R"([["k1"],"k2"])", R"([{"k1":1},"k2"])"}) {
+        std::string problem;
+        const auto table =
+            adapter::read_configuration(replaced(configuration, R"(["k1","k2"])", keys), problem);
+        BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+        const auto& route = *catalog::find_route(*table, "a.example", "/x/1");
+        BOOST_TEST(!catalog::check_key(*table, route, "k1").accepted);
+        BOOST_TEST(catalog::check_key(*table, route, "k2").accepted);
+    }
+    for (const char* keys : {R"("k1")", R"({"a":"k1"})", "null", "7"}) {
+        std::string problem;
+        const auto table =
+            adapter::read_configuration(replaced(configuration, R"(["k1","k2"])", keys), problem);
+        BOOST_REQUIRE_MESSAGE(table.has_value(), problem);
+        BOOST_TEST(
+            !catalog::check_key(*table, *catalog::find_route(*table, "a.example", "/x/1"), "k1").accepted);
+        BOOST_TEST(!problem.empty());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_without_teams_needs_no_key)
 {
     std::string problem;
