--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -146,7 +146,9 @@
         if (origin == nullptr) {
             continue;
         }
-        if (origin->stored) {
+        const bool taken = std::any_of(
+            batch.begin(), batch.end(), [stream](const auto& each) { return each.stream == stream; });
+        if (origin->stored || taken) {
             continue;
         }
         if (is_mixed(origins, origin->service)) {
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -72,6 +72,12 @@
     /// @brief Sets whether leases last until @c expire_leases, however slow the test runs.
     void set_leases_paused(bool value) { this->leases_paused = value; }
 
+    /// @brief Ends the lease of a key, which removes all keys under it.
+    void expire_lease_of(const std::string& key);
+
+    /// @brief Sets the longest lease that is granted.
+    void set_max_lease(std::chrono::milliseconds most) { this->max_lease_ms = most.count(); }
+
     /// @brief Number of leases granted.
     [[nodiscard]] std::size_t lease_count() const { return this->granted_leases; }
 
@@ -126,6 +132,7 @@
     answer handle_key(const std::string& key);
     answer handle_change(const std::string& body);
     answer handle_lease(const std::string& body);
+    answer handle_renewal(const std::string& id);
     answer handle_range(const std::string& prefix, const std::string& after);
     answer handle_watch(const std::string& prefix, std::uint64_t after, int wait_ms);
     /// @name The caller holds the mutex.
@@ -144,6 +151,7 @@
     std::map<std::string, item> items;
     std::vector<change> history;
     std::map<std::uint64_t, std::chrono::steady_clock::time_point> leases; ///< When each ends.
+    std::map<std::uint64_t, std::chrono::milliseconds> lease_times;        ///< From a renewal to the end.
     std::uint64_t next_lease = 77120;
     std::function<void()> before_change;
     std::uint64_t revision = 1;
@@ -157,6 +165,7 @@
     std::atomic<std::size_t> requests{0};
     std::atomic<std::size_t> granted_leases{0};
     std::atomic<bool> leases_paused{false};
+    std::atomic<std::int64_t> max_lease_ms{600000};
     std::atomic<bool> stopping{false};
     std::list<std::thread> threads;
     std::thread accept_thread;
--- a/tests/dispatch/stream_origins_test.cpp
+++ b/tests/dispatch/stream_origins_test.cpp
@@ -216,6 +216,20 @@
                boost::test_tools::per_element());
 }
 
+BOOST_AUTO_TEST_CASE(an_origin_that_is_returned_after_a_loss_is_not_taken_twice_in_one_batch)
+{
+    stream_origins origins;
+    (void)dispatch::update_versions(origins, list({"v1", "v2"}));
+    for (dispatch::stream_tag i = 1; i <= 3; ++i) {
+        dispatch::record_origin(origins, origin(i), start);
+    }
+    const auto batch = dispatch::take_unstored(origins, 2, start);
+    dispatch::forget_stored(origins);
+    dispatch::return_unstored(origins, batch);
+    BOOST_TEST(tags(dispatch::take_unstored(origins, 32, start)) == (tag_list{1, 2, 3}),
+               boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(a_service_is_mixed_when_the_list_or_the_store_names_another_version)
 {
     stream_origins origins;
