Bound the bytes of requests and responses that an instance holds

Cause: each message had a bound, 64 KiB unparsed and 4 MiB of a whole answer or body, and their sum had none. A request's body was held twice.

A body without room is refused as not run before it is sent, with Retry-After; an answer without room is given up as "may have run", without judging its endpoint. The request's body is shared with the connection.

Why it works: bytes are kept only after the budget has granted them, and are given back with the message.

Not covered: catalog copies from peers, the project's own interface.

--- a/include/hibiscusfall/core/verdict.hpp
+++ b/include/hibiscusfall/core/verdict.hpp
@@ -40,7 +40,8 @@
     receive_timeout,    ///< The request was not received in time.
     answer_not_kept,    ///< The request of this key ran, but its response was too large to store.
     crashes_endpoints,  ///< Crashes of endpoints are attributed to the request's prompt.
-    origin_unknown      ///< The software version at which the stream began is not known.
+    origin_unknown,     ///< The software version at which the stream began is not known.
+    no_room             ///< The instance holds as many bytes of requests and responses as it may.
 };
 
 /// @brief The outcome of a request: whether it may have run, and the most recent failure.
--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -81,6 +81,7 @@
 #include "hibiscusfall/protocol/message.hpp"
 #include "hibiscusfall/protocol/replay_window.hpp"
 #include "hibiscusfall/protocol/scheduling_messages.hpp"
+#include "hibiscusfall/relay/buffer_budget.hpp"
 #include "hibiscusfall/relay/dialect.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
 #include "hibiscusfall/relay/loop_load.hpp"
--- a/include/hibiscusfall/relay/relay_options.hpp
+++ b/include/hibiscusfall/relay/relay_options.hpp
@@ -6,6 +6,9 @@
 #include "hibiscusfall/dispatch/placement.hpp"
 #include "hibiscusfall/dispatch/repeat_budget.hpp"
 
+#include <cstddef>
+#include <cstdint>
+
 namespace hibiscusfall::relay
 {
 
@@ -20,6 +23,7 @@
     dispatch::repeat_limits retries;
     core::duration share_window = std::chrono::seconds{4}; ///< Window over which teams' shares are computed.
     core::duration shutdown_timeout = std::chrono::seconds{8}; ///< From the stop request to the forced exit.
+    std::size_t buffer_bytes = std::size_t{100} << 20U; ///< Bytes of requests and responses held at once.
 };
 
 /// @brief Counters of a relay server since its start.
@@ -30,6 +34,8 @@
     std::uint64_t refused = 0;            ///< Final responses with the verdict "not run".
     std::uint64_t refused_over_share = 0; ///< Of these, refusals of teams that exceed their share.
     std::uint64_t failed = 0;             ///< Final responses with the verdict "may have run".
+    std::uint64_t refused_buffers = 0;    ///< Of the refused ones, those whose bodies had no room here.
+    std::uint64_t dropped_responses = 0;  ///< Responses of endpoints given up, as there was no room for them.
     std::uint64_t rejected = 0;           ///< Requests that are malformed or that no route allows.
     std::uint64_t timed_out = 0;
     std::uint64_t caller_disconnects = 0;
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -6,6 +6,7 @@
 #include "hibiscusfall/dispatch/fleet_state.hpp"
 #include "hibiscusfall/dispatch/output_lengths.hpp"
 #include "hibiscusfall/dispatch/overcommit_control.hpp"
+#include "hibiscusfall/relay/buffer_budget.hpp"
 #include "hibiscusfall/relay/dialect.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
 #include "hibiscusfall/relay/loop_load.hpp"
@@ -134,6 +135,8 @@
     dispatch::output_lengths lengths;
     dispatch::caller_waits waits;
     dispatch::overcommit_control spare;
+    /// Shared, since sessions and connections may outlive the server until the loop ends.
+    std::shared_ptr<buffer_budget> buffers = std::make_shared<buffer_budget>();
     std::unique_ptr<detail::connection_pool> connections;
     std::unique_ptr<detail::endpoint_checks> checks;
     std::unique_ptr<detail::crash_watch> crashes;
--- a/include/hibiscusfall/settings/entry_settings.hpp
+++ b/include/hibiscusfall/settings/entry_settings.hpp
@@ -19,6 +19,8 @@
     core::instance_id id;
     core::failure_domain_id domain;
 
+    std::uint32_t memory_mb = 80; ///< That the instance may use, MiB; the default fits small machines.
+
     /// @name [listen]
     core::address callers;
     core::address readiness;
--- a/src/core/verdict.cpp
+++ b/src/core/verdict.cpp
@@ -86,6 +86,8 @@
         return "crashes-endpoints";
     case failure::origin_unknown:
         return "origin-unknown";
+    case failure::no_room:
+        return "no-room";
     }
     return "internal";
 }
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -85,6 +85,11 @@
         return failed(verdict::may_have_run(failure::garbled_answer, "the endpoint's answer cannot be read"),
                       request_outcome::failed);
     }
+    if (end == read_result::no_room) {
+        ++state.server.counters.dropped_responses;
+        return failed(verdict::may_have_run(failure::no_room, "this instance has no room for the response"),
+                      request_outcome::succeeded);
+    }
     if (connection.send_failed && connection.sent_bytes == 0) {
         return failed(
             verdict::not_run(failure::connection_failed, "the connection closed before the request"),
@@ -173,7 +178,8 @@
     }
     buffered_response answer{.status = parser.get().result_int(),
                              .head = response_fields(parser.get()),
-                             .body = std::move(parser.get().body())};
+                             .body = std::move(parser.get().body()),
+                             .held = connection->received.take()};
     const bool success = answer.status >= 200 && answer.status < 300;
     const bool is_answer = metadata.is_signed && !metadata.request_id.empty() && !metadata.not_run;
     // An endpoint that fails may have been spared by its failure, and the end of a connection may be a crash.
@@ -311,6 +317,10 @@
         if (piece.empty()) {
             break;
         }
+        if (!connection->received.resize(scanner.partial.size() + piece.size())) {
+            connection->close();
+            co_return incomplete_response(state, *connection, read_result::no_room);
+        }
         const auto events_before = scanner.progress.tokens;
         if (traffic::feed(scanner, piece) != traffic::scan_fault::none) {
             connection->close();
@@ -625,7 +635,8 @@
     record_beginning(state);
     state.caller.set_connection(connection);
     state.progress_at = event_loop::now();
-    start_sending(connection, format_request_head(state, chosen, event_loop::now()), state.request.body());
+    start_sending(
+        connection, format_request_head(state, chosen, event_loop::now()), state.caller.request_body());
     const extension extended{connection, std::move(limits.extend)};
     auto end = co_await relay_answer(state, connection, running, limits.start);
     end.reused_connection = connection->reused;
--- a/src/relay/attempt.hpp
+++ b/src/relay/attempt.hpp
@@ -53,6 +53,7 @@
     unsigned status = 0;
     std::string head; ///< Header lines with line ends, without hop-by-hop headers.
     std::string body;
+    buffer_share held; ///< For the body.
 };
 
 /// @brief Result of an attempt at one endpoint.
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -3,6 +3,7 @@
 #include "refusal.hpp"
 #include "request_handler.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/redirect_error.hpp>
@@ -18,6 +19,8 @@
 {
 
 constexpr std::size_t read_bytes = 8192;
+/// Bytes dropped in one read: a refused caller may be sending a body of some MiB.
+constexpr std::size_t dropped_bytes = 4096;
 /// Unparsed bytes beyond the head limit after which a request is malformed. Bounds chunk extensions and
 /// trailers, which have no limit in the parser.
 constexpr std::size_t max_unparsed_bytes = 16384;
@@ -50,7 +53,8 @@
 } // namespace
 
 caller_session::caller_session(relay_server& parent, tcp::socket accepted)
-    : server(parent), registry(parent.sessions), socket(std::move(accepted))
+    : server(parent), registry(parent.sessions), socket(std::move(accepted)),
+      body(parent.buffers, buffer_use::request)
 {
 }
 
@@ -90,15 +94,17 @@
             break;
         }
         this->expires = core::instant::max();
-        auto request = parser->release();
+        this->request = std::make_shared<caller_request>(parser->release());
         parser.reset();
-        this->keep_open = request.keep_alive();
-        this->head_request = request.method() == http::verb::head;
+        this->keep_open = this->request->keep_alive();
+        this->head_request = this->request->method() == http::verb::head;
         this->watch_for_disconnect();
         this->response_begun = false;
-        co_await handle_request(this->server, *this, request);
+        co_await handle_request(this->server, *this, *this->request);
         this->stop_watching();
         this->connection.reset();
+        this->request.reset();
+        this->body.release();
         if (this->disconnected || !this->keeps_open()) {
             break;
         }
@@ -132,6 +138,11 @@
             if (parser.is_header_done() && !has_unambiguous_length(parser.get())) {
                 co_return request_read_result::malformed;
             }
+            // A stated length is refused before the body is sent.
+            const auto stated = parser.is_header_done() ? parser.content_length().value_or(0) : 0;
+            if (!this->body.resize(std::max<std::size_t>(stated, parser.get().body().size()))) {
+                co_return request_read_result::no_room;
+            }
             if (parser.is_done()) {
                 break;
             }
@@ -178,6 +189,13 @@
     case request_read_result::shutting_down:
         answer = shutdown_refusal();
         break;
+    case request_read_result::no_room:
+        ++this->server.counters.refused_buffers;
+        answer = {.status = 503,
+                  .code = to_string(core::failure::no_room),
+                  .detail = "this instance holds as many bytes of bodies as it may",
+                  .retry_after = other_instance_wait};
+        break;
     default:
         answer = {.status = 400, .code = "malformed", .detail = "the request cannot be read"};
         break;
@@ -310,7 +328,7 @@
     // which could discard the response.
     this->timed_out = false;
     this->expires = event_loop::now() + drain_timeout;
-    std::array<char, 512> dropped{};
+    std::array<char, dropped_bytes> dropped{};
     while (!error && !this->disconnected && !this->timed_out) {
         co_await this->socket.async_read_some(asio::buffer(dropped),
                                               asio::redirect_error(asio::use_awaitable, error));
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -25,7 +25,8 @@
     head_too_large,
     body_too_large,
     timed_out,
-    shutting_down ///< The instance ends before the request is complete.
+    shutting_down, ///< The instance ends before the request is complete.
+    no_room        ///< The instance has no room for the body.
 };
 
 /// @brief Connection of a caller. Reads requests one at a time and responds in order.
@@ -79,6 +80,12 @@
     /// @brief Whether responses to the request in progress have no body, as it is a HEAD request.
     [[nodiscard]] bool expects_no_body() const noexcept { return this->head_request; }
 
+    /// @brief The body of the request in progress.
+    [[nodiscard]] std::shared_ptr<const std::string> request_body() const
+    {
+        return {this->request, &this->request->body()};
+    }
+
     /// @brief Closes the connection after the current response.
     void close_after_answer() noexcept { this->keep_open = false; }
 
@@ -101,6 +108,8 @@
     tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::shared_ptr<endpoint_connection> connection;
+    std::shared_ptr<caller_request> request; ///< In progress; the connection to an endpoint may outlive it.
+    buffer_share body;                       ///< What is held of the request's body.
     core::instant expires = core::instant::max();
     std::uint64_t watch = 0; ///< Number of the active disconnect watch; zero for none.
     std::uint64_t watches = 0;
--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -46,6 +46,16 @@
     co_return connection->timed_out ? read_result::timed_out : read_result::closed;
 }
 
+std::size_t body_size(const head_parser& /*parser*/)
+{
+    return 0;
+}
+
+std::size_t body_size(const buffered_parser& parser)
+{
+    return parser.get().body().size();
+}
+
 /// Feeds received bytes to a parser until the message, or only its head, is complete.
 template <class parser_type>
 asio::awaitable<read_result>
@@ -66,6 +76,9 @@
         if (connection->buffer.size() > max_unparsed_bytes) {
             co_return read_result::malformed;
         }
+        if (!connection->received.resize(connection->buffer.size() + body_size(parser))) {
+            co_return read_result::no_room;
+        }
         bool ended = false;
         const auto end = co_await receive(connection, ended);
         if (ended && parser.is_header_done()) {
@@ -83,20 +96,23 @@
 
 void start_sending(const std::shared_ptr<endpoint_connection>& connection,
                    std::string head,
-                   std::string_view body)
+                   std::shared_ptr<const std::string> body)
 {
     connection->request = std::move(head);
-    connection->request += body;
+    connection->request_body = std::move(body);
     connection->sent_bytes = 0;
     connection->sent_all = false;
     connection->send_failed = false;
-    asio::async_write(connection->socket,
-                      asio::buffer(connection->request),
-                      [connection](error_code error, std::size_t bytes) {
-                          connection->sent_bytes = bytes;
-                          connection->sent_all = !error;
-                          connection->send_failed = bool{error};
-                      });
+    std::array<asio::const_buffer, 2> buffers{asio::buffer(connection->request)};
+    if (connection->request_body) {
+        buffers[1] = asio::buffer(*connection->request_body);
+    }
+    asio::async_write(connection->socket, buffers, [connection](error_code error, std::size_t bytes) {
+        connection->sent_bytes = bytes;
+        connection->sent_all = !error;
+        connection->send_failed = bool{error};
+        connection->request_body.reset();
+    });
 }
 
 asio::awaitable<read_result> read_head(std::shared_ptr<endpoint_connection> connection,
--- a/src/relay/endpoint_answer.hpp
+++ b/src/relay/endpoint_answer.hpp
@@ -27,14 +27,16 @@
     complete,
     timed_out, ///< The connection's deadline passed.
     closed,    ///< The connection was closed or reset.
-    malformed  ///< The bytes received are no response to this request.
+    malformed, ///< The bytes received are no response to this request.
+    no_room    ///< The instance has no room for the bytes received.
 };
 
 /// @brief Starts to send a request. The connection holds the bytes until they are sent.
 /// @param head Request line and headers, including the empty line.
+/// @param body Null for none.
 void start_sending(const std::shared_ptr<endpoint_connection>& connection,
                    std::string head,
-                   std::string_view body);
+                   std::shared_ptr<const std::string> body);
 
 /// @brief Reads the head of the response to a request. Complete responses to other requests that precede it
 /// are dropped and counted.
--- a/src/relay/endpoint_checks.cpp
+++ b/src/relay/endpoint_checks.cpp
@@ -100,7 +100,7 @@
         co_return !is_unreachable(error);
     }
     connection->expires = event_loop::now() + limit;
-    start_sending(connection, format_request(this->server.http_dialect.status_path, address), {});
+    start_sending(connection, format_request(this->server.http_dialect.status_path, address), nullptr);
     buffered_parser parser;
     parser.body_limit(max_status_bytes);
     const auto end = co_await read_body(connection, parser);
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -87,6 +87,7 @@
 {
     auto link = std::make_shared<endpoint_connection>(this->loop.context());
     link->endpoint = endpoint;
+    link->received = {this->budget, buffer_use::response};
     link->idle_limit = default_idle_limit;
     this->connections.push_back(link);
     ++this->created;
@@ -95,6 +96,7 @@
 
 void connection_pool::release(const std::shared_ptr<endpoint_connection>& link)
 {
+    link->received.release();
     if (link->broken || !link->socket.is_open() || !link->sent_all || link->buffer.size() > 0) {
         link->close();
         return;
@@ -102,6 +104,7 @@
     link->expires = core::instant::max();
     link->idle_since = event_loop::now();
     link->request = {};
+    link->request_body.reset();
     if (link->buffer.capacity() > kept_buffer_bytes) {
         link->buffer = {};
     }
--- a/src/relay/endpoint_connection.hpp
+++ b/src/relay/endpoint_connection.hpp
@@ -3,6 +3,7 @@
 #include "hibiscusfall/core/address.hpp"
 #include "hibiscusfall/core/instant.hpp"
 #include "hibiscusfall/dispatch/prefix_cache.hpp"
+#include "hibiscusfall/relay/buffer_budget.hpp"
 #include "hibiscusfall/relay/event_loop.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -13,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace hibiscusfall::relay::detail
@@ -37,7 +39,9 @@
     bool reused = false;
     bool broken = false;               ///< Whether the connection must not be reused.
     bool carried_head_request = false; ///< Whether a response may have no body whatever its headers say.
-    std::string request;               ///< Bytes being sent; must outlive the write.
+    std::string request;               ///< Head of the request being sent; must outlive the write.
+    std::shared_ptr<const std::string> request_body; ///< As @c request; null for none.
+    buffer_share received;                           ///< What is held of the response.
     std::size_t sent_bytes = 0;
     bool sent_all = false;
     bool send_failed = false;
@@ -52,7 +56,10 @@
 class connection_pool
 {
 public:
-    explicit connection_pool(event_loop& loop_in_use) : loop(loop_in_use) {}
+    connection_pool(event_loop& loop_in_use, std::shared_ptr<buffer_budget> shared_budget)
+        : loop(loop_in_use), budget(std::move(shared_budget))
+    {
+    }
 
     /// @brief Takes an idle connection that the endpoint has not closed; null if there is none.
     /// @param fresh Accepts only a recently used connection, for requests that must not race with a close by
@@ -76,6 +83,7 @@
 
 private:
     event_loop& loop;
+    std::shared_ptr<buffer_budget> budget;
     std::map<dispatch::endpoint_tag, std::vector<std::shared_ptr<endpoint_connection>>> idle;
     std::vector<std::weak_ptr<endpoint_connection>> connections;
     std::uint64_t created = 0;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -53,6 +53,12 @@
     count("hibiscusfall_attempts_moved_total",
           "Attempts that waited long and were given up for another one.",
           counted.moved_attempts);
+    count("hibiscusfall_refused_buffers_total",
+          "Requests refused as there was no room for their bodies.",
+          counted.refused_buffers);
+    count("hibiscusfall_dropped_responses_total",
+          "Responses given up as there was no room for them.",
+          counted.dropped_responses);
     count("hibiscusfall_refused_take_ups_total",
           "Streams not taken up, as no endpoint is known to run the version at which they began.",
           counted.refused_take_ups);
@@ -95,6 +101,14 @@
     const auto now = event_loop::now();
     telemetry::metrics_page page;
     add_counters(page, this->counters);
+    page.gauge("hibiscusfall_buffered_bytes",
+               "Bytes of requests and responses held.",
+               {},
+               static_cast<double>(this->buffers->held()));
+    page.gauge("hibiscusfall_buffered_bytes_peak",
+               "Most of these bytes at once since the start.",
+               {},
+               static_cast<double>(this->buffers->peak));
     page.histogram("hibiscusfall_first_event_seconds",
                    "From sending to the first event.",
                    {},
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -42,10 +42,11 @@
 
 relay_server::relay_server(event_loop& loop_in_use, const dialect& chosen_dialect, relay_options settings)
     : loop(loop_in_use), http_dialect(chosen_dialect), options(std::move(settings)),
-      connections(std::make_unique<detail::connection_pool>(loop_in_use)),
+      connections(std::make_unique<detail::connection_pool>(loop_in_use, this->buffers)),
       checks(std::make_unique<detail::endpoint_checks>(*this)),
       crashes(std::make_unique<detail::crash_watch>())
 {
+    this->buffers->limit = this->options.buffer_bytes;
     this->fleet.own_domain = this->options.domain;
     this->fleet.shares.window = this->options.share_window;
     this->fleet.shares.bucket_start = event_loop::now();
@@ -181,6 +182,8 @@
     this->options.retries = changed.retries;
     this->options.share_window = changed.share_window;
     this->options.shutdown_timeout = changed.shutdown_timeout;
+    this->options.buffer_bytes = changed.buffer_bytes;
+    this->buffers->limit = changed.buffer_bytes;
     this->fleet.shares.window = changed.share_window;
 }
 
--- a/src/settings/entry_settings.cpp
+++ b/src/settings/entry_settings.cpp
@@ -20,6 +20,14 @@
     return {};
 }
 
+/// A template leaves the value empty on machines that state no limit.
+std::string set_memory(entry_settings& target, std::string_view value)
+{
+    constexpr std::uint32_t lowest = 16;
+    constexpr std::uint32_t highest = 1U << 20U;
+    return value.empty() ? std::string{} : read_number(value, lowest, highest, target.memory_mb);
+}
+
 std::vector<entry_setting> make_table()
 {
     using s = entry_settings;
@@ -33,6 +41,7 @@
         {{"instance", "capacity", "cores", "1", "Part of a core that it has; the largest pass reports on."},
          false,
          set_fraction(&s::capacity, 0.001, 1024)},
+        {{"instance", "memory_mb", "MiB", "80", "Memory that it may use."}, false, set_memory},
         {{"listen", "callers", "ip:port", "", "Where callers connect."}, true, set_address(&s::callers)},
         {{"listen", "readiness", "ip:port", "", "Where the balancer asks whether it takes callers."},
          true,
