Show that streams are lost whose instance stands still when a version comes

Cause, from the logs: streams that began while one version served are written when the second one comes; an instance that stands still at that moment cannot, and others refuse its streams as unknown.

--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -287,6 +287,22 @@
     BOOST_TEST(restarted.found("early1") == "v1");
 }
 
+// An instance that stands still when the second version comes cannot write its streams, and nobody takes them
+// up.
+BOOST_AUTO_TEST_CASE(a_stream_from_before_the_second_version_goes_on_though_its_instance_never_recorded_it)
+{
+    platform_store store;
+    instance other{store};
+    BOOST_REQUIRE(other.serve({"v1"}));
+    {
+        instance gone{store};
+        BOOST_REQUIRE(gone.serve({"v1"}));
+        gone.begin("r1", "v1");
+    }
+    BOOST_REQUIRE(other.serve({"v1", "v2"}));
+    BOOST_TEST(other.found("r1") == "v1");
+}
+
 BOOST_AUTO_TEST_CASE(more_streams_than_one_call_may_write_are_all_stored)
 {
     platform_store store;
