Refuse requests of routes whose weights are all zero

What callers saw (by a test; no report): when a new version took the weight from every service of a route, all its requests went to the last one.

Cause: choose_service falls back to the last service when no weight is left.

Change: a route without any weight refuses with 503, not run, and Retry-After.

--- a/include/hibiscusfall/catalog/route_table.hpp
+++ b/include/hibiscusfall/catalog/route_table.hpp
@@ -119,7 +119,11 @@
 /// @brief Finds the engine properties of a service; null for plain and unknown services.
 [[nodiscard]] const engine_properties* find_engine(const route_table& table, const core::service_id& service);
 
+/// @brief Whether a service of the route has a weight. Without one, no request of the route may run.
+[[nodiscard]] bool has_weight(const route& source);
+
 /// @brief Chooses the service for a request in proportion to the weights.
+/// @pre A service of the route has a weight.
 /// @param hash A number distributed evenly over requests, such as a hash of the request id.
 [[nodiscard]] const core::service_id& choose_service(const route& source, std::uint64_t hash);
 
--- a/src/catalog/route_table.cpp
+++ b/src/catalog/route_table.cpp
@@ -73,6 +73,13 @@
     return found == table.services.end() || !found->second.engine ? nullptr : &*found->second.engine;
 }
 
+bool has_weight(const route& source)
+{
+    return std::any_of(source.services.begin(), source.services.end(), [](const service_weight& each) {
+        return each.weight > 0;
+    });
+}
+
 const core::service_id& choose_service(const route& source, std::uint64_t hash)
 {
     double total_weight = 0;
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -115,6 +115,12 @@
             return this->unknown(401, "unauthorized", "no team has this key");
         }
         this->state.team = key.owner;
+        if (!catalog::has_weight(*this->state.route)) {
+            return refusal{.status = 503,
+                           .code = to_string(failure::no_endpoint),
+                           .detail = "no service of the route has a weight",
+                           .retry_after = configuration_wait};
+        }
         this->state.team_tag = this->state.team == nullptr ? 0 : dispatch::tag_of(this->state.team->id);
         // A stream that is taken up goes to the service that the request got with which it began.
         const auto& metadata = this->state.metadata;
--- a/tests/catalog/route_table_test.cpp
+++ b/tests/catalog/route_table_test.cpp
@@ -68,6 +68,15 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(a_route_whose_weights_are_all_zero_has_no_service)
+{
+    const catalog::route route{.services = {{.service = core::service_id{"a"}, .weight = 0},
+                                            {.service = core::service_id{"b"}, .weight = 0}}};
+    BOOST_TEST(!catalog::has_weight(route));
+    BOOST_TEST(!catalog::has_weight(catalog::route{}));
+    BOOST_TEST(catalog::has_weight(catalog::route{.services = {{.service = core::service_id{"a"}}}}));
+}
+
 BOOST_AUTO_TEST_CASE(keys_name_their_team)
 {
     catalog::route_table table;
