Test that an instance out of step joins no streams of two versions

It does not happen here in the form that was tried: real processes, one of two stands still while the version joins, callers take six streams up there before it wakes up, four rounds; each is continued at its version or refused as not run, and later take-ups go on. A set that the instance has read before is never concluded from: a take-up reads the set after it has arrived.

--- a/tests/adapter/take_up_process_test.cpp
+++ b/tests/adapter/take_up_process_test.cpp
@@ -87,16 +87,22 @@
         this->store.set_leases_paused(true);
         this->store.put("op/config", configuration);
         for (const auto& each : versions) {
-            auto& endpoint =
-                this->endpoints.emplace(each, std::make_unique<version_endpoint>("e-" + each, each))
-                    .first->second;
-            this->store.put("servers/" + endpoint->id(), endpoint->entry());
+            this->add(each);
         }
         for (const auto* name : {"one", "two"}) {
             this->entries.push_back(std::make_unique<entry_process>(this->store.address(), name));
         }
     }
 
+    /// @brief Starts an endpoint of a version and enters it in the store.
+    void add(const std::string& version)
+    {
+        const auto& endpoint =
+            this->endpoints.emplace(version, std::make_unique<version_endpoint>("e-" + version, version))
+                .first->second;
+        this->store.put("servers/" + endpoint->id(), endpoint->entry());
+    }
+
     bool ready()
     {
         return eventually([&] { return this->entries[0]->ready() && this->entries[1]->ready(); }, limit);
@@ -257,6 +263,57 @@
     check_take_ups(fleet, begun, "", "a");
 }
 
+// An instance that was out of step while a version joined continued that version's streams at the one it
+// knew.
+BOOST_AUTO_TEST_CASE(an_instance_that_stood_still_while_a_version_joined_continues_no_stream_at_another)
+{
+    constexpr int rounds = 4;
+    constexpr std::size_t streams = 6;
+    for (int round = 0; round < rounds; ++round) {
+        mixed_fleet fleet{{"v1"}};
+        BOOST_REQUIRE(fleet.ready());
+        auto& frozen = fleet.entry(1);
+        frozen.child().signal(SIGSTOP);
+        fleet.add("v2");
+        std::vector<std::pair<std::string, std::unique_ptr<caller>>> begun;
+        std::vector<std::unique_ptr<caller>> at_first_version; // kept open, so that both versions get streams
+        for (int i = 0; begun.size() < streams && i < 400; ++i) {
+            const auto id = "begun" + std::to_string(round) + "-" + std::to_string(i);
+            auto stream = std::make_unique<caller>(fleet.entry(0), id);
+            const auto version = stream->version();
+            if (version == "v2") {
+                begun.emplace_back(id, std::move(stream));
+            } else if (version == "v1") {
+                at_first_version.push_back(std::move(stream));
+            } else {
+                std::this_thread::sleep_for(50ms); // the version is not registered yet
+            }
+        }
+        BOOST_REQUIRE(begun.size() == streams);
+        // Sent while it stands still, so that it reads them before anything else that it has missed.
+        std::vector<std::unique_ptr<caller>> again;
+        for (auto& [id, stream] : begun) {
+            again.push_back(std::make_unique<caller>(frozen, "again" + id, take_up_of(id)));
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds{round * 400});
+        frozen.child().signal(SIGCONT);
+        for (auto& each : again) {
+            const auto status = each->status();
+            BOOST_TEST((status == "503" || (status == "200" && each->version() == "v2")), status);
+        }
+        BOOST_TEST(fleet.endpoints.at("v1")->taken_up() == 0U);
+        const auto& id = begun.front().first;
+        int tries = 0;
+        BOOST_TEST(eventually(
+            [&] {
+                caller later{frozen, "later" + id + "-" + std::to_string(tries++), take_up_of(id)};
+                return later.version() == "v2";
+            },
+            limit));
+        BOOST_TEST(fleet.endpoints.at("v1")->taken_up() == 0U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(with_a_single_version_a_stream_is_taken_up_after_all_instances_were_killed)
 {
     mixed_fleet fleet{{"v1"}};
