Keep the use of an optional out of a method that the linter reads

The choice of a source is an index again, and the test for a replaced request a method in place of a lambda. No change of behaviour.

--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -123,6 +123,8 @@
                    const std::string& bytes,
                    const catalog_request& request,
                    catalog::store_position position);
+    [[nodiscard]] bool is_replaced(const core::address& from,
+                                   const std::shared_ptr<relay::asio::ip::tcp::socket>& connection) const;
     void close_copy_connections();
 
     relay::relay_server& entry;
--- a/src/peers/catalog_copies.cpp
+++ b/src/peers/catalog_copies.cpp
@@ -15,6 +15,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <memory>
 
 namespace hibiscusfall::peers
@@ -35,6 +36,17 @@
 constexpr int hub_fetch_intervals = 3;
 constexpr std::uint64_t max_copy_bytes = 32U << 20U;
 
+constexpr auto no_source = std::numeric_limits<std::size_t>::max();
+
+/// Index of the instance to request a copy from; @c no_source while this instance should wait.
+std::size_t source_index(copy_requests& requests,
+                         const copy_requester& requester,
+                         std::span<const copy_candidate> candidates,
+                         core::instant now)
+{
+    return next_copy_source(requests, requester, candidates, now).value_or(no_source);
+}
+
 } // namespace
 
 void peer_exchange::update_catalog(core::instant now)
@@ -59,15 +71,15 @@
         .is_hub = this->is_hub,
         .hub_fetch_time = report_interval(this->members.size()) * hub_fetch_intervals,
         .own_read_time = reads_from_store ? store_read_wait : core::duration::zero()};
-    const auto source = next_copy_source(this->requested_copies, requester, candidates, now);
-    if (!source) {
+    const auto source = source_index(this->requested_copies, requester, candidates, now);
+    if (source == no_source) {
         return;
     }
     if (this->requested_copies.pending.size() > 1) {
         ++this->counters.additional_copies;
     }
     asio::co_spawn(this->entry.loop.context(),
-                   this->fetch_copy(candidates[*source].address),
+                   this->fetch_copy(candidates[source].address),
                    this->entry.loop.log_failure("fetch_copy"));
 }
 
@@ -122,10 +134,6 @@
 {
     auto connection = std::make_shared<tcp::socket>(this->entry.loop.context());
     this->copy_connections[from] = connection;
-    const auto is_replaced = [this, &from, &connection] {
-        const auto found = this->copy_connections.find(from);
-        return found == this->copy_connections.end() || found->second != connection;
-    };
     this->close_after_timeout(connection);
     error_code error;
     std::uint64_t size = 0;
@@ -145,14 +153,14 @@
     }
     std::string bytes;
     if (!error && size <= max_copy_bytes) {
-        if (!is_replaced()) {
+        if (!this->is_replaced(from, connection)) {
             record_answer(this->requested_copies, from);
         }
         bytes.resize(size);
         co_await asio::async_read(
             *connection, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
     }
-    if (is_replaced()) {
+    if (this->is_replaced(from, connection)) {
         telemetry::write(telemetry::log_event{"catalog_from_peer"}
                              .with("peer", core::to_string(from))
                              .with("outcome", "replaced by another copy"));
@@ -206,6 +214,13 @@
     }
 }
 
+bool peer_exchange::is_replaced(const core::address& from,
+                                const std::shared_ptr<tcp::socket>& connection) const
+{
+    const auto found = this->copy_connections.find(from);
+    return found == this->copy_connections.end() || found->second != connection;
+}
+
 void peer_exchange::close_copy_connections()
 {
     for (const auto& [source, connection] : this->copy_connections) {
