--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -78,9 +78,11 @@
             co_await this->socket.async_wait(tcp::socket::wait_read,
                                              asio::redirect_error(asio::use_awaitable, error));
             this->waiting = false;
-            if (error) {
+            if (error && !this->has_unread_bytes()) {
                 break;
             }
+            // The wait was cancelled, but a request had arrived that a late event loop has not seen yet.
+            this->timed_out = false;
         }
         this->head_request = false;
         auto parser = std::make_unique<request_parser>();
--- /dev/null
+++ b/tests/relay/late_timeout_test.cpp
@@ -0,0 +1,53 @@
+#include "../../src/relay/caller_session.hpp"
+#include "relay_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hibiscusfall;
+using namespace hibiscusfall::testing;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::string_view kept_request =
+    "POST /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Key: secret\r\nX-Request-Id: 1\r\nContent-Length: 1\r\n\r\nx";
+
+scripted_endpoint::script answering()
+{
+    return [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write(signed_answer(request->id, "done"));
+        }
+    };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(late_timeout_test)
+
+// Guards against a request that gets neither an answer nor a refusal: it has arrived when the connection's
+// idle time ends, but the loop was late and has not read it yet.
+BOOST_AUTO_TEST_CASE(a_request_that_arrived_before_a_late_idle_timeout_is_answered)
+{
+    relay_fixture fixture{{answering()}};
+    fixture.run_on_loop([](relay::relay_server& server) {
+        auto changed = std::make_shared<catalog::route_table>(*server.table);
+        ++changed->version;
+        changed->limits.idle_timeout = 300ms;
+        server.update(std::shared_ptr<const catalog::route_table>{changed});
+    });
+    raw_caller caller{fixture.port()};
+    caller.send(kept_request);
+    BOOST_TEST_REQUIRE(caller.read_until("done").find("200") != std::string::npos);
+    fixture.run_on_loop([&](relay::relay_server& server) {
+        caller.send(kept_request);
+        std::this_thread::sleep_for(400ms);
+        for (const auto& [raw, weak] : *server.sessions) {
+            raw->sweep(relay::event_loop::now());
+        }
+    });
+    BOOST_TEST(caller.read_until("done").find("200") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
