Do not count a request that arrived before its connection as an idle connection

Cause: a session whose request had arrived before its connection was accepted kept the mark of a session that waits for a request. A stop, and the closing of idle connections, cut such requests in progress.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -79,14 +79,15 @@
             error_code error;
             co_await this->socket.async_wait(tcp::socket::wait_read,
                                              asio::redirect_error(asio::use_awaitable, error));
-            this->waiting = false;
             if (error && !this->has_unread_bytes()) {
+                this->waiting = false;
                 break;
             }
             // The wait was cancelled, but a request had arrived that a late event loop has not seen yet.
             this->timed_out = false;
             this->closing = false;
         }
+        this->waiting = false;
         this->head_request = false;
         auto parser = std::make_unique<request_parser>();
         const auto end = co_await this->receive(*parser);
--- a/tests/relay/late_timeout_test.cpp
+++ b/tests/relay/late_timeout_test.cpp
@@ -50,4 +50,33 @@
     BOOST_TEST(caller.read_until("done").find("200") != std::string::npos);
 }
 
+// Guards against requests in progress that are cut as if their connections were idle, by a stop or for want
+// of descriptors: their bytes had arrived before the connection was accepted, so that nothing waited for
+// them.
+BOOST_AUTO_TEST_CASE(a_request_that_arrived_before_its_connection_was_accepted_is_not_idle)
+{
+    const auto silent = [](endpoint_connection& connection) {
+        (void)connection.read_request();
+        connection.wait_for_close();
+    };
+    relay_fixture fixture{{silent}};
+    std::unique_ptr<raw_caller> caller;
+    fixture.run_on_loop([&](relay::relay_server&) {
+        caller = std::make_unique<raw_caller>(fixture.port());
+        caller->send(kept_request);
+        std::this_thread::sleep_for(50ms);
+    });
+    while (fixture.received().empty()) {
+        std::this_thread::sleep_for(1ms);
+    }
+    std::this_thread::sleep_for(500ms); // longer than a request may take to arrive after its connection
+    fixture.run_on_loop([](relay::relay_server& server) {
+        BOOST_TEST_REQUIRE(server.sessions->size() == 1U);
+        for (const auto& [raw, weak] : *server.sessions) {
+            BOOST_TEST(!raw->idle(relay::event_loop::now()));
+            BOOST_TEST(!raw->waits_for_request(relay::event_loop::now()));
+        }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
