--- a/include/hibiscusfall/relay/loop_load.hpp
+++ b/include/hibiscusfall/relay/loop_load.hpp
@@ -17,7 +17,6 @@
     double peak_lag_ms = 0; ///< Longest recent lag, which fades within some seconds.
     bool overloaded = false;
     core::instant changed_at{};
-    core::duration min_duration{}; ///< Minimum duration of the current or last overload.
 };
 
 /// @brief Adds a sample of timer lateness.
--- a/src/relay/loop_load.cpp
+++ b/src/relay/loop_load.cpp
@@ -21,10 +21,6 @@
 constexpr core::duration rotation_delay = std::chrono::milliseconds{2200};
 /// Minimum duration of the overloaded state, so that traffic does not oscillate with each readiness check.
 constexpr core::duration min_overload_duration = std::chrono::seconds{3};
-/// An overload that recurs within this time lasts twice as long, as its callers came back with the load
-/// balancer's next check.
-constexpr core::duration recurrence_time = std::chrono::seconds{10};
-constexpr core::duration max_overload_duration = std::chrono::seconds{12};
 
 } // namespace
 
@@ -37,13 +33,7 @@
     const bool before = load.overloaded;
     if (!before) {
         load.overloaded = load.lag_ms > overload_lag_ms;
-        if (load.overloaded) {
-            const bool recurs =
-                load.min_duration > core::duration::zero() && now - load.changed_at < recurrence_time;
-            load.min_duration =
-                recurs ? std::min(load.min_duration * 2, max_overload_duration) : min_overload_duration;
-        }
-    } else if (now - load.changed_at >= load.min_duration) {
+    } else if (now - load.changed_at >= min_overload_duration) {
         load.overloaded = load.lag_ms > recovery_lag_ms;
     }
     if (load.overloaded != before) {
