--- a/include/hibiscusfall/relay/loop_load.hpp
+++ b/include/hibiscusfall/relay/loop_load.hpp
@@ -26,9 +26,6 @@
 /// @brief Whether new streams are refused, since they would start late here and at once on other instances.
 [[nodiscard]] bool refuses_streams(const loop_load& load) noexcept;
 
-/// @brief Whether the current overload began soon after another one.
-[[nodiscard]] bool has_recurred(const loop_load& load) noexcept;
-
 /// @brief Estimated delay between an event on the network and its handling by this instance.
 [[nodiscard]] core::duration observation_delay(const loop_load& load) noexcept;
 
--- a/src/relay/explanation.cpp
+++ b/src/relay/explanation.cpp
@@ -129,7 +129,7 @@
 std::optional<detail::refusal> refuse_unplaced(const relay_server& server,
                                                const detail::request_target& target,
                                                const dispatch::prompt* generation,
-                                               core::instant deadline,
+                                               core::instant latest_response,
                                                core::instant now)
 {
     const auto& crashes = server.fleet.crashes;
@@ -137,9 +137,7 @@
     if (const auto* cause = dispatch::find_cause(crashes, traits, target.team_tag, now)) {
         return detail::crash_refusal(crashes, *cause, traits, now);
     }
-    const auto latest = detail::latest_response_time(*target.route, now, deadline);
-    return detail::refuse_at_instance(
-        server, detail::describe_pending(*target.route, latest), target.draw, now, deadline);
+    return detail::refuse_at_instance(server, detail::describe_pending(*target.route, latest_response), now);
 }
 
 nlohmann::json describe(const explained_endpoint& endpoint)
@@ -231,7 +229,7 @@
     const auto deadline = now + request.metadata.time_left.value_or(detail::default_time_left);
     const auto latest = detail::latest_response_time(*target.route, now, deadline);
     if (const auto refused =
-            refuse_unplaced(server, target, generation ? &*generation : nullptr, deadline, now)) {
+            refuse_unplaced(server, target, generation ? &*generation : nullptr, latest, now)) {
         set_refusal(result, *refused);
         return result;
     }
--- a/src/relay/loop_load.cpp
+++ b/src/relay/loop_load.cpp
@@ -48,11 +48,6 @@
     return load.lag_ms > overload_lag_ms;
 }
 
-bool has_recurred(const loop_load& load) noexcept
-{
-    return load.overloaded && load.min_duration > min_overload_duration;
-}
-
 core::duration observation_delay(const loop_load& load) noexcept
 {
     return core::duration{static_cast<core::duration::rep>(load.lag_ms * 1000.0)};
--- a/src/relay/page_server.cpp
+++ b/src/relay/page_server.cpp
@@ -28,8 +28,6 @@
 using shared_renderer = std::shared_ptr<page_renderer>;
 
 constexpr core::duration accept_pause = std::chrono::milliseconds{20};
-/// Few programs ask for pages, and each is answered at once.
-constexpr int page_queue = 128;
 
 /// Responds to requests on one connection until it is closed. Assumes requests without bodies.
 asio::awaitable<void> answer(tcp::socket client, shared_renderer render)
@@ -78,20 +76,22 @@
 
 } // namespace
 
-tcp::acceptor open_listener(event_loop& loop, const core::address& at, int queue)
+tcp::acceptor open_listener(event_loop& loop, const core::address& at)
 {
+    // A small instance accepts about 300 connections per second, and callers wait 1 s for a connection.
+    constexpr int backlog = 128;
     tcp::acceptor acceptor{loop.context()};
     const tcp::endpoint where{asio::ip::make_address_v4(at.host), at.port};
     acceptor.open(where.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address{true});
     acceptor.bind(where);
-    acceptor.listen(queue);
+    acceptor.listen(backlog);
     return acceptor;
 }
 
 void serve_pages(event_loop& loop, const core::address& at, page_renderer render)
 {
-    auto acceptor = std::make_shared<tcp::acceptor>(open_listener(loop, at, page_queue));
+    auto acceptor = std::make_shared<tcp::acceptor>(open_listener(loop, at));
     auto shared = std::make_shared<page_renderer>(std::move(render));
     loop.keep_running("accept_pages", [&loop, acceptor, shared] { return accept(loop, acceptor, shared); });
 }
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -33,10 +33,7 @@
 constexpr core::duration trial_interval = std::chrono::seconds{1};
 constexpr core::duration accept_pause = milliseconds{20};
 /// Limit of connections accepted per loop iteration, so that responses in progress are not delayed.
-constexpr int max_accepts_per_iteration = 128;
-/// Callers wait 1 s for a connection, in which a small instance handles about 1,300 requests. A longer queue
-/// would hold callers who give up before they are accepted.
-constexpr int caller_queue = 512;
+constexpr int max_accepts_per_iteration = 32;
 
 } // namespace
 
@@ -177,7 +174,7 @@
 void relay_server::listen()
 {
     this->acceptors = std::make_unique<listeners>(
-        listeners{detail::open_listener(this->loop, this->options.caller_address, caller_queue)});
+        listeners{detail::open_listener(this->loop, this->options.caller_address)});
     this->acceptors->callers.non_blocking(true);
     this->loop.keep_running("accept_callers", [this] { return this->accept_callers(); });
     detail::serve_pages(this->loop, this->options.readiness_address, [this](std::string_view) {
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -83,8 +83,7 @@
         if (const auto* cause = find_crash_cause(this->state)) {
             return this->reject_for(*cause);
         }
-        auto refused = refuse_at_instance(
-            this->server, pending(this->state), this->target.draw, this->state.arrived, this->state.deadline);
+        auto refused = refuse_at_instance(this->server, pending(this->state), this->state.arrived);
         if (refused && refused->code == overloaded_code) {
             this->caller.close_after_answer();
         }
--- a/src/relay/request_target.cpp
+++ b/src/relay/request_target.cpp
@@ -23,20 +23,6 @@
     return XXH64(text.data(), text.size(), 0);
 }
 
-/// When a caller returns whom an overloaded instance refuses.
-core::duration overload_wait(const loop_load& load, std::uint64_t draw, core::duration time_left)
-{
-    if (!has_recurred(load)) {
-        return other_instance_wait;
-    }
-    // The callers' other instances are busy too. They return over the time that the load balancer takes to
-    // use further ones.
-    constexpr core::duration earliest = milliseconds{400};
-    constexpr std::uint64_t range_ms = 1200;
-    return std::min(earliest + milliseconds{static_cast<std::int64_t>(draw % range_ms)},
-                    time_left / retry_after_divisor);
-}
-
 /// Refusal for an unknown route or team. While the configuration may be outdated, the caller is asked to
 /// retry.
 refusal unknown(const relay_server& server, unsigned status, std::string_view code, std::string detail)
@@ -116,11 +102,8 @@
             .latest_response = latest_response};
 }
 
-std::optional<refusal> refuse_at_instance(const relay_server& server,
-                                          const pending_request& pending,
-                                          std::uint64_t draw,
-                                          core::instant arrived,
-                                          core::instant deadline)
+std::optional<refusal>
+refuse_at_instance(const relay_server& server, const pending_request& pending, core::instant arrived)
 {
     const auto stop = server.current_shutdown();
     if (stop && !accepts(*stop, pending, arrived)) {
@@ -131,7 +114,7 @@
                        .code = overloaded_code,
                        .detail = "this instance is " + std::to_string(static_cast<int>(server.load.lag_ms)) +
                                  " ms behind; retry on another instance",
-                       .retry_after = overload_wait(server.load, draw, core::elapsed(arrived, deadline))};
+                       .retry_after = other_instance_wait};
     }
     return std::nullopt;
 }
--- a/src/relay/request_target.hpp
+++ b/src/relay/request_target.hpp
@@ -40,13 +40,8 @@
 [[nodiscard]] pending_request describe_pending(const catalog::route& route, core::instant latest_response);
 
 /// @brief Refusal of a new request because this instance shuts down or is overloaded; nothing if it is not.
-/// @param draw Spreads the times at which refused callers return.
-/// @param deadline When the caller gives up.
-[[nodiscard]] std::optional<refusal> refuse_at_instance(const relay_server& server,
-                                                        const pending_request& pending,
-                                                        std::uint64_t draw,
-                                                        core::instant arrived,
-                                                        core::instant deadline);
+[[nodiscard]] std::optional<refusal>
+refuse_at_instance(const relay_server& server, const pending_request& pending, core::instant arrived);
 
 /// @brief Sets how many output tokens of a generation are expected.
 void estimate_output(const relay_server& server, const catalog::route& route, dispatch::prompt& generation);
