--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -67,8 +67,13 @@
 {
     const auto self = this->shared_from_this();
     // On a busy instance the request has arrived before its connection is accepted.
-    bool is_open = this->read_arrived_bytes();
-    while (is_open && this->socket.is_open() && this->keep_open) {
+    if (!this->read_arrived_bytes()) {
+        this->close_socket();
+        co_return;
+    }
+    // Closing a socket with unread bytes resets the connection, which could discard the response.
+    bool may_have_unread_bytes = true;
+    while (this->socket.is_open() && this->keep_open) {
         if (this->buffer.size() == 0) {
             this->buffer = {};
             this->waiting = true;
@@ -120,17 +125,20 @@
         this->request.reset();
         this->body.release();
         if (this->disconnected || !this->keeps_open()) {
-            is_open = this->buffer.size() > 0 || this->has_unread_bytes();
+            may_have_unread_bytes = this->buffer.size() > 0 || this->has_unread_bytes();
             break;
         }
     }
-    if (!is_open) {
-        // The request was read to its end, so that a close does not reset the connection.
-        error_code ignored;
-        this->socket.close(ignored);
-        co_return;
+    if (may_have_unread_bytes) {
+        co_await this->drain();
     }
-    co_await this->close_after_drain();
+    this->close_socket();
+}
+
+void caller_session::close_socket()
+{
+    error_code ignored;
+    this->socket.close(ignored);
 }
 
 /// Reads what has arrived on a new connection, without waiting.
@@ -396,13 +404,12 @@
     return detail::has_unread_bytes(this->socket);
 }
 
-asio::awaitable<void> caller_session::close_after_drain()
+asio::awaitable<void> caller_session::drain()
 {
     this->closing = true;
     error_code error;
     this->socket.shutdown(tcp::socket::shutdown_send, error);
-    // Reads and drops what the caller still sends: closing a socket with unread bytes resets the connection,
-    // which could discard the response.
+    // Reads and drops what the caller still sends.
     this->timed_out = false;
     this->expires = event_loop::now() + drain_timeout;
     std::array<char, dropped_bytes> dropped{};
@@ -410,7 +417,6 @@
         co_await this->socket.async_read_some(asio::buffer(dropped),
                                               asio::redirect_error(asio::use_awaitable, error));
     }
-    this->socket.close(error);
 }
 
 } // namespace hibiscusfall::relay::detail
--- a/src/relay/caller_session.hpp
+++ b/src/relay/caller_session.hpp
@@ -121,7 +121,8 @@
 
     asio::awaitable<request_read_result> receive(request_parser& parser);
     asio::awaitable<void> reject_unreadable(request_read_result end);
-    asio::awaitable<void> close_after_drain();
+    asio::awaitable<void> drain();
+    void close_socket();
     [[nodiscard]] bool read_arrived_bytes();
     void wait_for_disconnect();
     void stop_watching();
--- a/tests/relay/connection_limits_test.cpp
+++ b/tests/relay/connection_limits_test.cpp
@@ -5,7 +5,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
-#include <random>
 
 using namespace hibiscusfall;
 using namespace hibiscusfall::testing;
