--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -1,9 +1,9 @@
 /// @file
-/// @brief A worker sends additional bytes after a complete answer. They look like a refusal without a request
-/// id and arrive while the next request runs on the connection. The entry takes them for its answer and sends
-/// the request, which must not be repeated, to another worker.
+/// @brief Origins of streams are written without a condition: a write whose answer was lost is done late,
+/// over a newer origin of the same stream. Another instance then continues the stream at the wrong software
+/// version.
 
-#include "../standins-2/rig.hpp"
+#include "../standins-2/streams.hpp"
 
 #include <random>
 
@@ -12,11 +12,15 @@
 
 using namespace rig;
 
-constexpr long run_ms = 60;
-constexpr long extra_after_ms = 25;    ///< From an answer to the additional bytes.
-constexpr double spoiled_share = 0.02; ///< Of the answers, at the faulty workers.
-constexpr int workers_count = 4;       ///< Half of them are faulty.
-constexpr long length_ms = 20000;
+constexpr long trouble_ms = 4500; ///< Twice for so long, writes are lost, and workers fail requests.
+constexpr long pause_ms = 1000;   ///< Between the two.
+constexpr long begin_ms = 2 * trouble_ms + pause_ms; ///< Streams begin for so long.
+constexpr int streams_per_s = 48;
+constexpr double lost_share = 0.35;   ///< Of the writes.
+constexpr double failed_share = 0.45; ///< Of the requests that begin at a worker.
+constexpr int most_rounds = 3;
+
+std::atomic<bool> failing{false};
 
 bool draw(double share)
 {
@@ -26,95 +30,76 @@
     return std::uniform_real_distribution<double>{0, 1}(generator) < share;
 }
 
-/// The runs of each request, by its id.
-struct ledger {
-    std::mutex mutex;
-    std::map<std::string, std::vector<std::string>> runs;
-};
-
-/// A worker of the service "desk".
-class worker
+/// A write is done and not answered, 1.5 or 2.5 s later.
+store::fate lose_some(const json& /*change*/)
 {
-public:
-    worker(std::string own_id, bool spoils, ledger& runs, record& to)
-        : id(std::move(own_id)), faulty(spoils), ran(runs), log(to),
-          listener("127.0.0.1", [this](int fd, reader& from) { this->serve(fd, from); })
-    {
-    }
-
-    [[nodiscard]] std::string entry() const
-    {
-        return json{{"service", "desk"},
-                    {"address", this->listener.address()},
-                    {"zone", "zone-a"},
-                    {"version", "r1"},
-                    {"slots", 6},
-                    {"state", "ready"},
-                    {"cold-left-ms", 0},
-                    {"sequence", 1},
-                    {"born", 1790000000123}}
-            .dump();
-    }
+    return draw(lost_share) ? store::fate{.answered = false, .done_after_ms = draw(0.5) ? 1500 : 2500}
+                            : store::fate{};
+}
 
-    const std::string id;
+using entries = std::vector<std::unique_ptr<entry>>;
 
-private:
-    void serve(int fd, reader& from)
-    {
-        long extra_at = 0; // when the additional bytes are due; zero for none
-        const auto send_extra = [&] {
-            extra_at = 0;
-            this->log.line("worker " + this->id + " sends additional bytes after its last answer");
-            write_all(
-                fd,
-                "HTTP/1.1 503 Service Unavailable\r\nX-Hibiscusfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
-        };
-        while (true) {
-            if (extra_at > 0 && from.buffer.empty() && !wait_readable(fd, extra_at - now_ms())) {
-                send_extra();
-            }
-            const auto request = read_message(from, 30000);
-            if (!request) {
-                return;
-            }
-            const auto name = request->field("x-hibiscusfall-request-id");
-            if (name.empty()) {
-                write_all(fd, answer(200, "Content-Type: application/json\r\n", "{}"));
-                continue;
-            }
-            if (request->field("x-hibiscusfall-expect-instance") != this->id) {
-                write_all(fd, answer(421, "X-Hibiscusfall-Not-Run: 1\r\n", ""));
-                continue;
-            }
-            this->log.line("worker " + this->id + " runs " + name);
-            {
-                const std::lock_guard lock(this->ran.mutex);
-                this->ran.runs[name].push_back(this->id);
-            }
-            const long end = now_ms() + run_ms;
-            if (extra_at > 0) {
-                sleep_until(extra_at);
-                send_extra();
-            }
-            sleep_until(end);
-            if (!write_all(fd,
-                           answer(200,
-                                  "X-Hibiscusfall-Request-Id: " + name +
-                                      "\r\nX-Hibiscusfall-Server-Stamp: " + this->id + "." + name + "\r\n",
-                                  std::string(800, 'a')))) {
-                return;
-            }
-            if (trouble() && this->faulty && draw(spoiled_share)) {
-                extra_at = now_ms() + extra_after_ms;
+/// @returns The number of streams that hold events of two versions.
+int play_round(store& platform, entries& fronts, record& log, std::size_t first_id)
+{
+    const long from = now_ms();
+    std::thread disruption{[&] {
+        for (int turn = 0; turn < 2 && trouble(); ++turn) {
+            sleep_until(from + turn * (trouble_ms + pause_ms));
+            log.line("trouble: for " + std::to_string(trouble_ms) +
+                     " ms the store does some writes late without an answer, and workers fail requests");
+            platform.set_judge(lose_some);
+            failing = true;
+            sleep_ms(trouble_ms);
+            failing = false;
+            platform.set_judge({});
+        }
+    }};
+    std::vector<std::unique_ptr<stream>> streams;
+    std::vector<std::thread> clients;
+    for (std::size_t i = 0; now_ms() < from + begin_ms; ++i) {
+        streams.push_back(std::make_unique<stream>());
+        clients.emplace_back([&, i, of = streams.back().get()] {
+            const long began = now_ms();
+            of->first_id = hex_id(first_id + 2 * i);
+            if (attempt(*fronts[i % 3], of->first_id, *of, log, began) && !of->events.empty()) {
+                sleep_ms(100);
+                of->taken_up = true;
+                attempt(*fronts[(i + 1) % 3], hex_id(first_id + 2 * i + 1), *of, log, began);
             }
+        });
+        sleep_until(from + static_cast<long>(i + 1) * 1000 / streams_per_s);
+    }
+    disruption.join();
+    sleep_until(from + begin_ms + 3000); // all late writes are done
+    for (const std::size_t each : {0U, 2U, 1U}) {
+        if (trouble()) {
+            log.line("trouble: " + fronts[each]->id() + " is killed and started again");
+            fronts[each]->kill(SIGKILL);
+            sleep_ms(500);
+            fronts[each]->start();
+            sleep_ms(1000);
         }
     }
-
-    bool faulty;
-    ledger& ran;
-    record& log;
-    server listener;
-};
+    for (auto& each : clients) {
+        each.join();
+    }
+    int joined = 0;
+    int complete = 0;
+    int taken_up = 0;
+    for (const auto& each : streams) {
+        complete += each->complete ? 1 : 0;
+        taken_up += each->taken_up ? 1 : 0;
+        if (each->versions().size() > 1) {
+            ++joined;
+            log.line("broken: stream " + each->first_id + " holds events of v1 and of v2");
+        }
+    }
+    log.line("streams " + std::to_string(streams.size()) + ", complete " + std::to_string(complete) +
+             ", taken up " + std::to_string(taken_up) + ", with events of two versions " +
+             std::to_string(joined) + " (allowed 2)");
+    return joined;
+}
 
 } // namespace
 
@@ -125,92 +110,40 @@
     record log{arguments[1]};
     const folder temporary;
     store platform;
-    platform.put("op/config",
-                 json{{"version", 3},
-                      {"routes",
-                       {{{"name", "book"},
-                         {"hostname", "desk.example"},
-                         {"path-prefix", "/book/"},
-                         {"kind", "unsafe"},
-                         {"timeout-ms", 1500},
-                         {"goal-ms", 300},
-                         {"priority", 1},
-                         {"service", "desk"},
-                         {"max-attempts", 2}}}},
-                      {"services", {{{"name", "desk"}, {"health-path", "/health"}, {"max-conns", 110}}}},
-                      {"limits", json::object()},
-                      {"tenants", {{{"name", "team-one"}, {"api-keys", {"key-of-team-one"}}}}}}
-                     .dump());
-    ledger runs;
-    std::vector<std::unique_ptr<worker>> workers;
-    for (int i = 0; i < workers_count; ++i) {
-        workers.push_back(std::make_unique<worker>("i-" + std::to_string(i), i % 2 == 0, runs, log));
+    platform.put("op/config", stream_configuration());
+    std::vector<std::unique_ptr<stream_worker>> workers;
+    for (int i = 0; i < 6; ++i) {
+        const auto* version = i < 3 ? "v1" : "v2";
+        workers.push_back(std::make_unique<stream_worker>(
+            "i-" + std::to_string(i) + "-" + version, "zone-a", version, 700, log, [] {
+                return failing && draw(failed_share);
+            }));
         platform.put("servers/" + workers.back()->id, workers.back()->entry());
     }
-    const std::vector<std::string> hosts{"127.0.0.11", "127.0.0.12"};
+    const std::vector<std::string> hosts{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
     const auto at = free_ports(hosts);
-    std::vector<std::unique_ptr<entry>> entries;
+    entries fronts;
     for (std::size_t i = 0; i < hosts.size(); ++i) {
-        entries.push_back(std::make_unique<entry>(
+        fronts.push_back(std::make_unique<entry>(
             temporary, "front-" + std::to_string(i + 1), "zone-a", hosts[i], at, platform.address(), hosts));
     }
-    await_ready(entries);
-    sleep_ms(1500);
-    const long until = now_ms() + length_ms;
-    std::atomic<std::uint64_t> sent{0};
-    std::map<int, int> statuses;
-    std::vector<std::thread> clients;
-    for (std::size_t i = 0; i < 16; ++i) {
-        clients.emplace_back([&, i] {
-            const auto& target = *entries[i % entries.size()];
-            int fd = -1;
-            reader from;
-            while (now_ms() < until) {
-                if (fd < 0) {
-                    fd = connect_to(target.ip(), target.callers());
-                    from = reader{.fd = fd};
-                }
-                const auto id = hex_id(++sent);
-                log.line("client sends " + id + " to " + target.id());
-                write_all(fd,
-                          "POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nX-Hibiscusfall-Request-Id: " + id +
-                              "\r\nX-Hibiscusfall-Credential: key-of-team-one\r\n"
-                              "X-Hibiscusfall-Deadline-Ms: 1500\r\nContent-Length: 16\r\n\r\n" +
-                              id);
-                const auto got = read_message(from, 3000);
-                log.line("client gets " + std::to_string(got ? got->status() : 0) + " for " + id);
-                {
-                    const std::lock_guard lock(runs.mutex);
-                    ++statuses[got ? got->status() : 0];
-                }
-                if (!got || got->field("connection") == "close") {
-                    ::close(fd);
-                    fd = -1;
-                }
-                sleep_ms(draw(0.5) ? 5 : 30);
-            }
-            ::close(fd);
-        });
-    }
-    for (auto& each : clients) {
-        each.join();
-    }
-    sleep_ms(500);
-    int twice = 0;
-    for (const auto& [id, where] : runs.runs) {
-        if (where.size() > 1) {
-            ++twice;
-            log.line("broken: " + id + " ran " + std::to_string(where.size()) + " times, at " + where[0] +
-                     " and " + where[1]);
+    await_ready(fronts);
+    sleep_ms(2500);
+    platform.on_write = [&log](const json& change, bool late) {
+        for (const auto& each : change.at("set-keys")) {
+            log.line("store: " + each.at("key").get<std::string>() + " = " +
+                     from_base64(each.at("value").get<std::string>()) +
+                     (late ? " (done late, not answered)" : ""));
         }
+    };
+    // "More than two streams hold events from workers of two software versions of one service." What is lost
+    // is drawn, so that up to three rounds are made.
+    int joined = 0;
+    for (int round = 0; round < (trouble() ? most_rounds : 1) && joined <= 2; ++round) {
+        joined += play_round(platform, fronts, log, 1 + static_cast<std::size_t>(round) * 10000);
+        await_ready(fronts);
     }
-    std::string counted;
-    for (const auto& [status, count] : statuses) {
-        counted += " " + std::to_string(status) + ": " + std::to_string(count);
-    }
-    // "A request that isn't idempotent runs more than once."
-    log.line("sent " + std::to_string(sent) + ", answers" + counted + ", run more than once " +
-             std::to_string(twice));
+    log.line("streams with events of two versions " + std::to_string(joined) + " (allowed 2)");
     log.flush();
-    return twice > 0 ? 1 : 0;
+    return joined > 2 ? 1 : 0;
 }
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -425,13 +425,15 @@
     using judge = std::function<fate(const json& change)>;
 
     explicit store(const std::string& host = "127.0.0.1")
-        : listener(host, [this](int fd, reader& from) { this->serve(fd, from); })
+        : listener(host, [this](int fd, reader& from) { this->serve(fd, from, false); }),
+          second_listener(host, [this](int fd, reader& from) { this->serve(fd, from, true); })
     {
     }
     ~store()
     {
         this->closing = true;
         this->listener.stop();
+        this->second_listener.stop();
         while (this->late_writes > 0) {
             sleep_ms(5);
         }
@@ -439,6 +441,12 @@
 
     [[nodiscard]] std::string address() const { return this->listener.address(); }
 
+    /// A second address of the store, for the machine that is cut off from it.
+    [[nodiscard]] std::string second_address() const { return this->second_listener.address(); }
+
+    /// Cuts off the machine that uses the second address, silently, until it is set back.
+    void cut_second(bool value) { this->second_cut = value; }
+
     /// Sets what decides on the fate of writes of the system; none for "all are done and answered".
     void set_judge(judge decides)
     {
@@ -667,7 +675,15 @@
         return {400, json::object()};
     }
 
-    void serve(int fd, reader& from)
+    /// Reads and answers nothing until the caller closes its connection.
+    void drop_all(reader& from) const
+    {
+        while (!this->closing && !from.ended) {
+            from.more(200);
+        }
+    }
+
+    void serve(int fd, reader& from, bool second)
     {
         while (!this->closing) {
             const auto call = read_message(from, 60000);
@@ -676,6 +692,10 @@
             }
             sleep_ms(4);
             std::pair<int, json> result;
+            if (second && this->second_cut) {
+                this->drop_all(from); // the call does not arrive
+                return;
+            }
             if (call->target() == "/api/kv-txn") {
                 const auto wanted = json::parse(call->body);
                 judge decides;
@@ -695,18 +715,17 @@
                         }
                         --this->late_writes;
                     }}.detach();
-                    // A connection on which a response is lost returns nothing further.
-                    while (!this->closing && from.more(200)) {
-                    }
-                    while (!this->closing && !from.ended) {
-                        from.more(200);
-                    }
+                    this->drop_all(from); // a connection on which a response is lost returns nothing further
                     return;
                 }
                 result = this->change(wanted, false);
             } else {
                 result = this->handle(*call);
             }
+            if (second && this->second_cut) {
+                this->drop_all(from); // the answer does not arrive
+                return;
+            }
             if (!write_all(fd,
                            answer(result.first,
                                   "Content-Type: application/json\r\nStore-Era: 1\r\n",
@@ -724,8 +743,10 @@
     std::uint64_t last_lease = 7000;
     judge decide;
     std::atomic<bool> closing{false};
+    std::atomic<bool> second_cut{false};
     std::atomic<int> late_writes{0};
     server listener;
+    server second_listener;
 };
 
 // -------------------------------------------------------------------------------------------- processes
