Make review case 7 need fewer disruptions

The requests that move between versions now wait long for their first token, as they may without any disruption, in place of failing at their worker; the stand-in of the store can come back from a copy.

--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -12,16 +12,15 @@
 
 using namespace rig;
 
-constexpr long trouble_ms = 4500; ///< Twice for so long, writes are lost, and workers fail requests.
-constexpr long pause_ms = 1000;   ///< Between the two.
+constexpr long trouble_ms = 4500;                    ///< Twice for so long, writes are lost.
+constexpr long pause_ms = 1000;                      ///< Between the two.
 constexpr long begin_ms = 2 * trouble_ms + pause_ms; ///< Streams begin for so long.
 constexpr int streams_per_s = 48;
-constexpr double lost_share = 0.35;   ///< Of the writes.
-constexpr double failed_share = 0.45; ///< Of the requests that begin at a worker.
+constexpr double lost_share = 0.35; ///< Of the writes.
+constexpr double late_share = 0.45; ///< Of the requests whose first token comes late, in calm too.
+constexpr long late_ms = 1200;
 constexpr int most_rounds = 3;
 
-std::atomic<bool> failing{false};
-
 bool draw(double share)
 {
     static std::mutex mutex;
@@ -47,11 +46,9 @@
         for (int turn = 0; turn < 2 && trouble(); ++turn) {
             sleep_until(from + turn * (trouble_ms + pause_ms));
             log.line("trouble: for " + std::to_string(trouble_ms) +
-                     " ms the store does some writes late without an answer, and workers fail requests");
+                     " ms the store does some writes late without an answer");
             platform.set_judge(lose_some);
-            failing = true;
             sleep_ms(trouble_ms);
-            failing = false;
             platform.set_judge({});
         }
     }};
@@ -116,7 +113,7 @@
         const auto* version = i < 3 ? "v1" : "v2";
         workers.push_back(std::make_unique<stream_worker>(
             "i-" + std::to_string(i) + "-" + version, "zone-a", version, 700, log, [] {
-                return failing && draw(failed_share);
+                return draw(late_share) ? late_ms : 0L;
             }));
         platform.put("servers/" + workers.back()->id, workers.back()->entry());
     }
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -468,6 +468,28 @@
         this->erase(key);
     }
 
+    /// Takes a copy of all that the store holds.
+    void take_copy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->kept = {this->items, this->leases, this->revision};
+    }
+
+    /// Comes back from the copy: what was written since is gone, and the era rises.
+    void restore()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->items = this->kept.items;
+        this->leases = this->kept.leases;
+        this->revision = this->kept.revision;
+        this->history.clear();
+        this->oldest = this->revision;
+        ++this->era;
+    }
+
+    /// Resets the connections of all callers while it is set.
+    void set_away(bool value) { this->away = value; }
+
     /// Called for each write that was done, with what was known of it.
     std::function<void(const json& change, bool late)> on_write;
 
@@ -603,7 +625,7 @@
             {
                 const std::lock_guard lock(this->mutex);
                 this->end_leases();
-                if (after > this->revision) {
+                if (after > this->revision || after < this->oldest) {
                     return {410, json::object()};
                 }
                 json events = json::array();
@@ -675,6 +697,13 @@
         return {400, json::object()};
     }
 
+    /// The connection is reset when it is closed.
+    static void reset_later(int fd)
+    {
+        const linger now{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+
     /// Reads and answers nothing until the caller closes its connection.
     void drop_all(reader& from) const
     {
@@ -691,6 +720,10 @@
                 return;
             }
             sleep_ms(4);
+            if (this->away) {
+                reset_later(fd);
+                return;
+            }
             std::pair<int, json> result;
             if (second && this->second_cut) {
                 this->drop_all(from); // the call does not arrive
@@ -726,9 +759,14 @@
                 this->drop_all(from); // the answer does not arrive
                 return;
             }
+            if (this->away) {
+                reset_later(fd);
+                return;
+            }
             if (!write_all(fd,
                            answer(result.first,
-                                  "Content-Type: application/json\r\nStore-Era: 1\r\n",
+                                  "Content-Type: application/json\r\nStore-Era: " +
+                                      std::to_string(this->era) + "\r\n",
                                   result.second.dump()))) {
                 return;
             }
@@ -741,6 +779,14 @@
     std::map<std::uint64_t, lease> leases;
     std::uint64_t revision = 100;
     std::uint64_t last_lease = 7000;
+    struct {
+        std::map<std::string, item> items;
+        std::map<std::uint64_t, lease> leases;
+        std::uint64_t revision = 0;
+    } kept;
+    std::uint64_t oldest = 0; ///< A watch from before it gets 410.
+    std::atomic<std::uint64_t> era{1};
+    std::atomic<bool> away{false};
     judge decide;
     std::atomic<bool> closing{false};
     std::atomic<bool> second_cut{false};
--- a/review/standins-2/streams.hpp
+++ b/review/standins-2/streams.hpp
@@ -42,16 +42,16 @@
 class stream_worker
 {
 public:
-    /// @param fails Whether a request that begins fails with 500 instead of its first token.
+    /// @param more_ms By how much the first token of a request that begins is later than usual.
     stream_worker(std::string own_id,
                   std::string in_zone,
                   std::string runs,
                   long until_token_ms,
                   record& to,
-                  std::function<bool()> fails = {},
+                  std::function<long()> more_ms = {},
                   int events = stream_events)
         : id(std::move(own_id)), zone(std::move(in_zone)), version(std::move(runs)),
-          first_token_ms(until_token_ms), last_event(events), log(to), fail(std::move(fails)),
+          first_token_ms(until_token_ms), last_event(events), log(to), later(std::move(more_ms)),
           listener("127.0.0.1", [this](int fd, reader& from) { this->serve(fd, from); })
     {
     }
@@ -121,14 +121,10 @@
                                 "\r\nX-Hibiscusfall-Server-Stamp: " + this->id + "\r\n";
             this->log.line("worker " + this->id + " (" + own_version + ") runs " + name +
                            (last.empty() ? std::string{} : " after event " + last));
-            if (wait_readable(fd, this->first_token_ms)) {
+            const long more_ms = last.empty() && this->later ? this->later() : 0;
+            if (wait_readable(fd, this->first_token_ms + more_ms)) {
                 return; // the connection was closed
             }
-            if (last.empty() && this->fail && this->fail()) {
-                this->log.line("worker " + this->id + " answers 500 to " + name);
-                write_all(fd, answer(500, stamps, "failed"));
-                continue;
-            }
             if (!write_all(fd,
                            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + stamps +
                                "Transfer-Encoding: chunked\r\n\r\n")) {
@@ -153,7 +149,7 @@
     long first_token_ms;
     int last_event;
     record& log;
-    std::function<bool()> fail;
+    std::function<long()> later;
     server listener;
 };
 
