--- a/review/standins-2/streams.hpp
+++ b/review/standins-2/streams.hpp
@@ -13,7 +13,7 @@
 constexpr long deadline_ms = 15000;
 
 /// The configuration: one route with streams that may be resumed.
-inline std::string stream_configuration()
+inline std::string stream_configuration(int version = 3)
 {
     const json route{{"name", "chat"},
                      {"hostname", "pool.example"},
@@ -31,7 +31,7 @@
                        {"health-path", "/health"},
                        {"max-conns", 370},
                        {"engine", {{"slots", 64}, {"kv-capacity-tokens", 431646}, {"stride", 6}}}};
-    json configuration{{"version", 3}, {"limits", {{"tokens-per-s", 900000}}}};
+    json configuration{{"version", version}, {"limits", {{"tokens-per-s", 900000}}}};
     configuration["routes"].push_back(route);
     configuration["services"].push_back(service);
     configuration["tenants"].push_back({{"name", "team-one"}, {"api-keys", {"key-of-team-one"}}});
