--- a/review/7/case.cpp
+++ b/review/7/case.cpp
@@ -115,7 +115,7 @@
             "i-" + std::to_string(i) + "-" + version, "zone-a", version, 700, log, [] {
                 return draw(late_share) ? late_ms : 0L;
             }));
-        platform.put("servers/" + workers.back()->id, workers.back()->entry());
+        platform.announce("servers/" + workers.back()->id, workers.back()->entry());
     }
     const std::vector<std::string> hosts{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
     const auto at = free_ports(hosts);
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -30,7 +30,7 @@
         const auto* version = i < 3 ? "v1" : "v2";
         workers.push_back(std::make_unique<stream_worker>(
             "i-" + std::to_string(i) + "-" + version, "zone-a", version, 200, log));
-        platform.put("servers/" + workers.back()->id, workers.back()->entry());
+        platform.announce("servers/" + workers.back()->id, workers.back()->entry());
     }
     const std::vector<std::string> hosts{"127.0.0.11", "127.0.0.12", "127.0.0.13"};
     const auto at = free_ports(hosts);
--- a/review/standins-2/rig.hpp
+++ b/review/standins-2/rig.hpp
@@ -432,6 +432,9 @@
     ~store()
     {
         this->closing = true;
+        if (this->heartbeats.joinable()) {
+            this->heartbeats.join();
+        }
         this->listener.stop();
         this->second_listener.stop();
         while (this->late_writes > 0) {
@@ -461,11 +464,23 @@
         this->set(key, value, 0);
     }
 
-    void remove(const std::string& key)
+    /// Enters a worker, which writes its entry again at each heartbeat from now on.
+    void announce(const std::string& key, const std::string& entry)
     {
+        this->put(key, entry);
         const std::lock_guard lock(this->mutex);
-        ++this->revision;
-        this->erase(key);
+        this->live[key] = json::parse(entry);
+        if (!this->heartbeats.joinable()) {
+            this->heartbeats = std::thread{[this] { this->beat(); }};
+        }
+    }
+
+    /// The worker writes no more. Its entry is removed after three heartbeats of silence.
+    void silence(const std::string& key)
+    {
+        const std::lock_guard lock(this->mutex);
+        this->live.erase(key);
+        this->removed_at[key] = now_ms() + 3 * heartbeat_ms;
     }
 
     /// Takes a copy of all that the store holds.
@@ -494,6 +509,32 @@
     std::function<void(const json& change, bool late)> on_write;
 
 private:
+    static constexpr long heartbeat_ms = 1200;
+
+    void beat()
+    {
+        long next = now_ms() + heartbeat_ms;
+        while (!this->closing) {
+            sleep_ms(20);
+            const std::lock_guard lock(this->mutex);
+            for (const auto& [key, at] : this->removed_at) {
+                if (at <= now_ms() && !this->live.contains(key) && this->items.contains(key)) {
+                    ++this->revision;
+                    this->erase(key);
+                }
+            }
+            if (now_ms() < next) {
+                continue;
+            }
+            next += heartbeat_ms;
+            for (auto& [key, entry] : this->live) {
+                entry["sequence"] = entry["sequence"].get<int>() + 1;
+                ++this->revision;
+                this->set(key, entry.dump(), 0);
+            }
+        }
+    }
+
     struct item {
         std::string value;
         std::uint64_t revision = 0;
@@ -784,6 +825,9 @@
         std::map<std::uint64_t, lease> leases;
         std::uint64_t revision = 0;
     } kept;
+    std::map<std::string, json> live;       ///< Entries of workers that write them again.
+    std::map<std::string, long> removed_at; ///< When the entry of a silent worker is removed.
+    std::thread heartbeats;
     std::uint64_t oldest = 0; ///< A watch from before it gets 410.
     std::atomic<std::uint64_t> era{1};
     std::atomic<bool> away{false};
--- a/review/standins-2/streams.hpp
+++ b/review/standins-2/streams.hpp
@@ -72,8 +72,9 @@
     }
 
     /// Ends with its connections, and says nothing.
-    void crash()
+    void crash(store& platform)
     {
+        platform.silence("servers/" + this->id);
         this->log.line("worker " + this->id + " (" + this->runs() + ") crashes");
         this->listener.stop();
     }
@@ -87,7 +88,7 @@
             this->born += now_ms();
         }
         this->listener.open();
-        platform.put("servers/" + this->id, this->entry());
+        platform.announce("servers/" + this->id, this->entry());
         this->log.line("worker " + this->id + " is back with " + with_version);
     }
 
