Write origins of streams on the condition that no newer one is stored

Callers got streams with events of two software versions after their instance had ended: another instance read an old version from the store.

Cause: write_batch() named no revision. A write without an answer may be carried out seconds later; a request that had moved meanwhile had its newer origin in the store by then, which the late write replaced for good, as the instance took it for stored.

Ruled out: an instance that forgets the move (its own take-ups were right), and a batch that is written out of order (there is one writer, and it waits). origin_store_test/a_write_that_is_done_late_does_not_replace_the_version_ that_a_request_moved_to fails on the code before: "v1 != v2".

Change: each origin is written on the condition that its key is at the revision last known, zero at first. A record states how often the request has moved; of two records the one with more moves holds. When a condition fails, the store's answer tells the current records: an own write that was carried out counts as stored, an earlier record is replaced on its revision, the rest of the batch is written with the next call.

Why it works: the first of the two writes that is carried out fails the condition of the other. If it is the late one, the instance learns of it and writes again. A key that is gone with its lease takes the leases of all earlier writes with it, so that a late one is refused for its lease.

--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -36,6 +36,17 @@
     std::string version;
     core::instant expires{}; ///< Deadline of its caller; it is not taken up later.
     bool stored = false;     ///< Whether the store has it.
+    /// How often the request has moved to another version before its first event. Of two records of a stream
+    /// the one with more moves holds.
+    std::uint32_t moves = 0;
+    std::uint64_t revision = 0; ///< Of the store's record as last known; zero if there is none.
+};
+
+/// @brief The store's record of a stream, as found when another one was to be written.
+struct stored_origin {
+    std::string version;
+    std::uint32_t moves = 0;
+    std::uint64_t revision = 0;
 };
 
 /// @brief The software versions of one service.
@@ -91,6 +102,16 @@
 /// @brief Marks origins as stored, unless they were recorded anew meanwhile.
 void mark_stored(stream_origins& origins, std::span<const stream_origin> batch);
 
+/// @brief Records the revision of the store's records after a batch was written, or found in the store. The
+/// next writes of these streams depend on it.
+void record_revision(stream_origins& origins, std::span<const stream_origin> batch, std::uint64_t revision);
+
+/// @brief Compares an origin that was not written with the record that the store has of its stream.
+/// @param found The store's record; nothing if it has none.
+/// @returns Whether the origin needs to be written. Otherwise the store's record holds: it is the same, or it
+/// has more moves and becomes the known one.
+bool reconcile(stream_origins& origins, stream_tag stream, const std::optional<stored_origin>& found);
+
 /// @brief Marks all known origins as not stored, after the store has lost what was written.
 void forget_stored(stream_origins& origins);
 
--- a/include/hibiscusfall/relay/origin_lookup.hpp
+++ b/include/hibiscusfall/relay/origin_lookup.hpp
@@ -22,6 +22,7 @@
     origin_state state = origin_state::unknown;
     std::string version{}; ///< Set if known.
     bool recorded = false; ///< Whether it was recorded that the stream began, rather than concluded.
+    std::uint32_t moves = 0; ///< Of the record, see dispatch::stream_origin.
 };
 
 /// @brief Finds where a stream began that this instance does not know.
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -112,6 +112,7 @@
     if (found != origins.known.end()) {
         if (found->second.version != origin.version) {
             found->second.version = std::move(origin.version);
+            ++found->second.moves;
             found->second.stored = false;
             origins.unstored.push_back(stream);
         }
@@ -181,6 +182,34 @@
     }
 }
 
+void record_revision(stream_origins& origins, std::span<const stream_origin> batch, std::uint64_t revision)
+{
+    for (const auto& each : batch) {
+        const auto found = origins.known.find(each.stream);
+        if (found != origins.known.end()) {
+            found->second.revision = revision;
+        }
+    }
+}
+
+bool reconcile(stream_origins& origins, stream_tag stream, const std::optional<stored_origin>& found)
+{
+    const auto position = origins.known.find(stream);
+    if (position == origins.known.end()) {
+        return false;
+    }
+    auto& known = position->second;
+    known.revision = found ? found->revision : 0;
+    if (!found || found->moves < known.moves ||
+        (found->moves == known.moves && found->version != known.version)) {
+        return true;
+    }
+    known.version = found->version;
+    known.moves = found->moves;
+    known.stored = true;
+    return false;
+}
+
 void forget_stored(stream_origins& origins)
 {
     origins.unstored.clear();
@@ -189,6 +218,7 @@
     }
     for (auto& [stream, origin] : origins.known) {
         origin.stored = false;
+        origin.revision = 0;
     }
 }
 
--- a/src/relay/request_handler.cpp
+++ b/src/relay/request_handler.cpp
@@ -138,7 +138,10 @@
         const auto stream = stream_of(this->state);
         const auto now = event_loop::now();
         if (const auto* known = dispatch::find_origin(this->server.origins, stream, now)) {
-            this->origin = {.state = origin_state::known, .version = known->version, .recorded = true};
+            this->origin = {.state = origin_state::known,
+                            .version = known->version,
+                            .recorded = true,
+                            .moves = known->moves};
         } else if (this->server.find_origin) {
             auto search = this->server.find_origin(service, stream);
             this->origin = co_await std::move(search);
@@ -154,7 +157,8 @@
                                     {.stream = stream,
                                      .service = service,
                                      .version = this->origin.version,
-                                     .expires = this->state.deadline},
+                                     .expires = this->state.deadline,
+                                     .moves = this->origin.moves},
                                     event_loop::now());
         }
     }
--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -452,6 +452,85 @@
     }
 }
 
+// A late write of the version before replaced the newer one, and another instance continued the stream there.
+BOOST_AUTO_TEST_CASE(a_write_that_is_done_late_does_not_replace_the_version_that_a_request_moved_to)
+{
+    platform_store store;
+    instance one{store};
+    BOOST_REQUIRE(one.serve({"v1", "v2"}));
+    store.set_changes_lost(true);
+    one.begin("moved", "v1");
+    one.begin("stayed", "v1");
+    BOOST_REQUIRE(eventually([&] { return store.lost_change_count() == 1; }));
+    one.begin("moved", "v2");
+    store.set_changes_lost(false);
+    BOOST_REQUIRE(eventually([&] { return one.counts().stored == 2; }));
+    store.carry_out_lost_changes();
+    instance restarted{store};
+    BOOST_TEST(restarted.found("moved") == "v2");
+    BOOST_TEST(restarted.found("stayed") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(a_write_that_was_done_without_an_answer_is_not_repeated_for_ever)
+{
+    platform_store store;
+    instance one{store};
+    BOOST_REQUIRE(one.serve({"v1", "v2"}));
+    store.set_changes_lost(true);
+    one.begin("r1", "v1");
+    BOOST_REQUIRE(eventually([&] { return store.lost_change_count() == 1; }));
+    store.carry_out_lost_changes(); // its condition holds now, and not again later
+    store.set_changes_lost(false);
+    BOOST_REQUIRE(eventually([&] { return one.counts().stored == 1; }));
+    BOOST_TEST(one.counts().conflicts == 1U);
+    one.begin("r1", "v2");
+    BOOST_TEST(eventually([&] { return one.counts().stored == 2; }));
+    BOOST_TEST(one.counts().conflicts == 1U); // the condition was learned from the conflict
+    instance restarted{store};
+    BOOST_TEST(restarted.found("r1") == "v2");
+}
+
+// A call is all or nothing: the other streams of a batch must not wait for the one whose condition fails.
+BOOST_AUTO_TEST_CASE(a_condition_that_fails_keeps_no_other_stream_of_its_batch_from_being_stored)
+{
+    platform_store store;
+    instance one{store};
+    instance other{store};
+    BOOST_REQUIRE(one.serve({"v1", "v2"}));
+    BOOST_REQUIRE(other.serve({"v1", "v2"}));
+    other.begin("r3", "v1");
+    BOOST_REQUIRE(eventually([&] { return stored_streams(store) == 1; }));
+    one.begin("r3", "v1"); // taken up here, so that it is to be written again
+    for (int i = 4; i < 12; ++i) {
+        one.begin("r" + std::to_string(i), "v2");
+    }
+    BOOST_TEST(eventually([&] { return stored_streams(store) == 9; }));
+    BOOST_TEST(eventually([&] { return one.counts().stored == 9; }));
+    BOOST_TEST(one.counts().conflicts == 1U);
+    instance restarted{store};
+    BOOST_TEST(restarted.found("r3") == "v1");
+    BOOST_TEST(restarted.found("r11") == "v2");
+}
+
+// The lease that a late write names has ended, or its keys were lost: the newer record must not be undone.
+BOOST_AUTO_TEST_CASE(a_late_write_after_the_end_of_its_lease_does_not_bring_an_earlier_version_back)
+{
+    platform_store store;
+    instance one{store};
+    BOOST_REQUIRE(one.serve({"v1", "v2"}));
+    store.set_changes_lost(true);
+    one.begin("r1", "v1");
+    BOOST_REQUIRE(eventually([&] { return store.lost_change_count() == 1; }));
+    store.set_changes_lost(false);
+    one.begin("r1", "v2");
+    BOOST_REQUIRE(eventually([&] { return one.counts().stored == 1; }));
+    store.expire_leases();
+    store.carry_out_lost_changes();
+    BOOST_TEST(eventually([&] { return stored_streams(store) == 1; }));
+    instance restarted{store};
+    BOOST_TEST(restarted.found("r1") == "v2");
+}
+
 BOOST_AUTO_TEST_CASE(two_instances_that_register_at_once_keep_both_versions)
 {
     platform_store store;
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -9,6 +9,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -291,6 +293,14 @@
         while (this->active_fault == fault::unresponsive && !this->stopping) {
             std::this_thread::sleep_for(1ms);
         }
+        if (this->changes_lost && request.target() == "/api/kv-txn") {
+            {
+                const std::lock_guard lock(this->mutex);
+                this->lost_changes.push_back(request.body());
+            }
+            this->drop_all(socket);
+            return;
+        }
         answer sent;
         if (kind == fault::unavailable) {
             const std::lock_guard lock(this->mutex);
@@ -316,6 +326,36 @@
     }
 }
 
+void platform_store::drop_all(asio::ip::tcp::socket& socket) const
+{
+    while (!this->stopping) {
+        std::array<char, 1024> dropped{};
+        const auto got = ::recv(socket.native_handle(), dropped.data(), dropped.size(), MSG_DONTWAIT);
+        if (got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+            return;
+        }
+        std::this_thread::sleep_for(1ms);
+    }
+}
+
+std::size_t platform_store::lost_change_count()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->lost_changes.size();
+}
+
+void platform_store::carry_out_lost_changes()
+{
+    std::vector<std::string> bodies;
+    {
+        const std::lock_guard lock(this->mutex);
+        bodies.swap(this->lost_changes);
+    }
+    for (const auto& body : bodies) {
+        this->handle_change(body);
+    }
+}
+
 platform_store::answer
 platform_store::handle(const std::string& method, const std::string& target, const std::string& body)
 {
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -84,6 +84,16 @@
     /// @brief Sets what is called before each conditional change is carried out, on the connection's thread.
     void set_before_change(std::function<void()> call);
 
+    /// @brief Sets whether changes get no response, nor does anything else on their connections. They wait for
+    /// @c carry_out_lost_changes.
+    void set_changes_lost(bool value) { this->changes_lost = value; }
+
+    /// @brief Number of changes without a response that have not been carried out.
+    [[nodiscard]] std::size_t lost_change_count();
+
+    /// @brief Carries out the changes without a response, the oldest first, as far as their conditions hold.
+    void carry_out_lost_changes();
+
     /// @brief Drops the history, so that watches from an earlier revision get status 410.
     void compact();
 
@@ -128,6 +138,7 @@
     };
 
     void serve(boost::asio::ip::tcp::socket socket);
+    void drop_all(boost::asio::ip::tcp::socket& socket) const;
     answer handle(const std::string& method, const std::string& target, const std::string& body);
     answer handle_key(const std::string& key);
     answer handle_change(const std::string& body);
@@ -154,6 +165,7 @@
     std::map<std::uint64_t, std::chrono::milliseconds> lease_times;        ///< From a renewal to the end.
     std::uint64_t next_lease = 77120;
     std::function<void()> before_change;
+    std::vector<std::string> lost_changes; ///< Their bodies.
     std::uint64_t revision = 1;
     std::uint64_t compacted_revision = 0; ///< Watches from before this revision are refused.
     std::uint64_t era = 1;                ///< Rises with each restoration.
@@ -165,6 +177,7 @@
     std::atomic<std::size_t> requests{0};
     std::atomic<std::size_t> granted_leases{0};
     std::atomic<bool> leases_paused{false};
+    std::atomic<bool> changes_lost{false};
     std::atomic<std::int64_t> max_lease_ms{600000};
     std::atomic<bool> stopping{false};
     std::list<std::thread> threads;
--- a/tests/dispatch/stream_origins_test.cpp
+++ b/tests/dispatch/stream_origins_test.cpp
@@ -159,6 +159,47 @@
     }));
 }
 
+BOOST_AUTO_TEST_CASE(of_two_records_of_a_stream_the_one_with_more_moves_holds)
+{
+    stream_origins origins;
+    (void)dispatch::update_versions(origins, list({"v1", "v2"}));
+    dispatch::record_origin(origins, origin(1, "v1"), start);
+    dispatch::record_origin(origins, origin(1, "v2"), start);
+    using record = dispatch::stored_origin;
+    // Nothing stands in the store, or the record from before the move, or an unreadable one.
+    BOOST_TEST(dispatch::reconcile(origins, 1, std::nullopt));
+    BOOST_TEST(dispatch::reconcile(origins, 1, record{.version = "v1", .moves = 0, .revision = 7}));
+    BOOST_TEST(origins.known.at(1).revision == 7U);
+    BOOST_TEST(dispatch::reconcile(origins, 1, record{.version = "", .moves = 1, .revision = 8}));
+    BOOST_TEST(!origins.known.at(1).stored);
+    // The own write was carried out, though its response was lost.
+    BOOST_TEST(!dispatch::reconcile(origins, 1, record{.version = "v2", .moves = 1, .revision = 9}));
+    BOOST_TEST(origins.known.at(1).stored);
+    BOOST_TEST(origins.known.at(1).revision == 9U);
+    // Another instance knows of a further move.
+    BOOST_TEST(!dispatch::reconcile(origins, 1, record{.version = "v1", .moves = 2, .revision = 11}));
+    BOOST_TEST(dispatch::find_origin(origins, 1, start)->version == "v1");
+    BOOST_TEST(!dispatch::reconcile(origins, 2, std::nullopt)); // has expired meanwhile
+}
+
+BOOST_AUTO_TEST_CASE(the_next_write_of_a_stream_depends_on_the_last_known_record)
+{
+    stream_origins origins;
+    (void)dispatch::update_versions(origins, list({"v1", "v2"}));
+    dispatch::record_origin(origins, origin(1, "v1"), start);
+    const auto first = dispatch::take_unstored(origins, 8, start);
+    BOOST_TEST(first.front().revision == 0U);
+    dispatch::record_origin(origins, origin(1, "v2"), start); // while the batch is written
+    dispatch::record_revision(origins, first, 12);
+    dispatch::mark_stored(origins, first);
+    const auto second = dispatch::take_unstored(origins, 8, start);
+    BOOST_REQUIRE(second.size() == 1U);
+    BOOST_TEST(second.front().revision == 12U);
+    BOOST_TEST(second.front().moves == 1U);
+    dispatch::forget_stored(origins);
+    BOOST_TEST(dispatch::take_unstored(origins, 8, start).front().revision == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(only_streams_of_mixed_services_are_taken_and_others_wait)
 {
     stream_origins origins;
