--- a/include/hibiscusfall/relay/origin_lookup.hpp
+++ b/include/hibiscusfall/relay/origin_lookup.hpp
@@ -20,8 +20,8 @@
 /// @brief The software version at which a stream began.
 struct origin_reading {
     origin_state state = origin_state::unknown;
-    std::string version{}; ///< Set if known.
-    bool recorded = false; ///< Whether it was recorded that the stream began, rather than concluded.
+    std::string version{};   ///< Set if known.
+    bool recorded = false;   ///< Whether it was recorded that the stream began, rather than concluded.
     std::uint32_t moves = 0; ///< Of the record, see dispatch::stream_origin.
 };
 
--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -738,6 +738,32 @@
     BOOST_TEST(restarted.found("r2") == "v2");
 }
 
+// The restored copy has the version from before the request moved, and nobody is left who knows of the move.
+BOOST_AUTO_TEST_CASE(an_origin_of_a_restored_copy_is_not_taken_for_the_last_one)
+{
+    platform_store store;
+    platform_store::copy earlier;
+    {
+        instance gone{store};
+        BOOST_REQUIRE(gone.serve({"v1", "v2"}));
+        gone.begin("r1", "v1");
+        BOOST_REQUIRE(eventually([&] { return stored_streams(store) == 1; }));
+        earlier = store.snapshot();
+        gone.begin("r1", "v2");
+        BOOST_REQUIRE(eventually([&] { return gone.counts().stored == 2; }));
+    }
+    store.restore(earlier);
+    instance started{store};
+    BOOST_TEST(started.find("r1").state != origin_state::known);
+    BOOST_REQUIRE(started.serve({"v1", "v2"}));
+    BOOST_TEST(started.find("r1").state != origin_state::known);
+    // Its own streams replace what the copy has of them.
+    started.begin("r1", "v2");
+    BOOST_REQUIRE(eventually([&] { return started.counts().stored == 1; }));
+    instance other{store};
+    BOOST_TEST(other.found("r1") == "v2");
+}
+
 BOOST_AUTO_TEST_CASE(lookups_do_not_use_up_the_reads_of_the_store)
 {
     platform_store store;
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -84,7 +84,8 @@
     /// @brief Sets what is called before each conditional change is carried out, on the connection's thread.
     void set_before_change(std::function<void()> call);
 
-    /// @brief Sets whether changes get no response, nor does anything else on their connections. They wait for
+    /// @brief Sets whether changes get no response, nor does anything else on their connections. They wait
+    /// for
     /// @c carry_out_lost_changes.
     void set_changes_lost(bool value) { this->changes_lost = value; }
 
