Confirm the versions of a service after a restoration of the store

Callers got streams with events of two software versions after all instances had been killed as the store came back from a copy: those that started continued streams of a version that had joined since at the other one.

Cause: a process that has just started takes what it reads for complete. The copy named one version, so that every stream counted as one of that version. The era of the store tells of a restoration only to a process that has seen the era before.

Ruled out: the list of endpoints alone (an instance with no list concludes the same, see the test), and origins that survive in the copy (there were none). an_instance_ that_starts_after_a_restoration_does_not_take_the_versions_for_complete fails on the commit before: "v1 != (unavailable)".

Change: a set of versions states the era in which it was last known to be complete. While that is not the store's present one, nothing is concluded from it; take-ups of streams that are not recorded are asked to come back. Instances that knew the set before the restoration add their versions at once and confirm it after the settling time of two seconds. If there are none, one that has started since confirms it a second later with an additional version that no endpoint has, so that the service counts as mixed: streams are recorded, and of those that are not nothing is concluded, until that version is removed after a minute like any other that is not listed.

Why it works: the store states its era in each response. New streams do not wait, and in a store that was not restored the eras are the same at once. A set without an era, as earlier releases write it, is confirmed in the same way.

--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -764,6 +764,103 @@
     BOOST_TEST(other.found("r1") == "v2");
 }
 
+// The copy lacks a version at which streams began. An instance that starts then has seen no restoration.
+BOOST_AUTO_TEST_CASE(an_instance_that_starts_after_a_restoration_does_not_take_the_versions_for_complete)
+{
+    platform_store store;
+    platform_store::copy earlier;
+    {
+        instance gone{store};
+        BOOST_REQUIRE(gone.serve({"v1"}));
+        earlier = store.snapshot();
+        BOOST_REQUIRE(gone.serve({"v1", "v2"}));
+        gone.begin("r2", "v2");
+        BOOST_REQUIRE(eventually([&] { return stored_streams(store) == 1; }));
+    }
+    store.restore(earlier);
+    instance started{store};
+    BOOST_TEST(started.found("r2") == "(unavailable)"); // and not v1
+    BOOST_TEST(started.serve({"v1"}));                  // new streams do not wait
+    started.begin("r3", "v1");
+    instance other{store};
+    std::string found;
+    BOOST_TEST(eventually([&] { return (found = started.found("r2")) != "(unavailable)"; }));
+    BOOST_TEST(found == "(unknown)");
+    BOOST_TEST(other.found("r2") == "(unknown)");
+    // Streams that begin now are recorded.
+    BOOST_TEST(eventually([&] { return other.found("r3") == "v1"; }));
+}
+
+BOOST_AUTO_TEST_CASE(a_set_that_nobody_remembered_counts_as_complete_once_all_earlier_streams_have_ended)
+{
+    constexpr auto retention = 4s;
+    platform_store store;
+    platform_store::copy earlier;
+    {
+        instance gone{store};
+        BOOST_REQUIRE(gone.serve({"v1"}));
+        earlier = store.snapshot();
+    }
+    store.restore(earlier);
+    store.restore(earlier); // twice
+    instance started{store, {}, {.version_retention = retention}};
+    BOOST_REQUIRE(started.serve({"v1"}));
+    BOOST_TEST(started.found("r1") == "(unavailable)");
+    BOOST_TEST(eventually([&] { return started.found("r1") == "(unknown)"; }));
+    BOOST_TEST(registered(store) == "unknown before era 3,v1,");
+    BOOST_TEST(eventually([&] { return registered(store) == "v1,"; }));
+    BOOST_TEST(eventually([&] { return started.found("r1") == "v1"; }));
+    instance restarted{store};
+    BOOST_TEST(restarted.found("r1") == "v1");
+}
+
+// Instances that were there add what the copy lacks: nothing is unknown then.
+BOOST_AUTO_TEST_CASE(an_instance_that_remembers_the_versions_confirms_them_after_a_restoration)
+{
+    platform_store store;
+    instance one{store};
+    BOOST_REQUIRE(one.serve({"v1"}));
+    const auto earlier = store.snapshot();
+    store.restore(earlier);
+    one.learn_era(store.current_era());
+    instance started{store};
+    BOOST_REQUIRE(started.serve({"v1"}));
+    BOOST_TEST(started.found("r1") == "(unavailable)");
+    std::string found;
+    BOOST_TEST(eventually([&] { return (found = started.found("r1")) != "(unavailable)"; }));
+    BOOST_TEST(found == "v1");
+    BOOST_TEST(registered(store) == "v1,");
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_states_no_era_is_taken_to_be_complete)
+{
+    platform_store store;
+    store.set_era_header(std::nullopt);
+    instance one{store};
+    BOOST_REQUIRE(one.serve({"v1"}));
+    one.begin("r1", "v1");
+    instance started{store};
+    BOOST_TEST(started.found("r1") == "v1");
+    BOOST_REQUIRE(one.serve({"v1", "v2"}));
+    BOOST_TEST(eventually([&] { return stored_streams(store) == 1; }));
+    BOOST_TEST(started.found("r1") == "v1");
+}
+
+BOOST_AUTO_TEST_CASE(a_set_of_an_earlier_release_is_confirmed_before_it_counts_as_complete)
+{
+    platform_store store;
+    {
+        instance one{store};
+        BOOST_REQUIRE(one.serve({"v1"}));
+    }
+    store.put(store.keys("versions/").front(), R"({"service":"s1","versions":["v1"]})");
+    instance started{store};
+    BOOST_TEST(started.found("r1") == "(unavailable)");
+    BOOST_REQUIRE(started.serve({"v1"}));
+    BOOST_TEST(eventually([&] { return started.found("r1") == "(unknown)"; }));
+    BOOST_TEST(registered(store) == "unknown before era 1,v1,");
+}
+
 BOOST_AUTO_TEST_CASE(lookups_do_not_use_up_the_reads_of_the_store)
 {
     platform_store store;
