Let a peer store the origins of streams that an instance cannot write

Callers whose instance ended after it had been cut off from the store could not go on with their streams elsewhere, though workers of their software version served.

Cause: the store is the only way by which another instance learns where a stream began, and only the stream's own instance writes it there. Cut off, it passed the first event on after 400 ms without a record, and wrote it only if it was still there when the cut ended.

Change: after a failed write an instance hands the origins of its own streams to a peer, 25 in a datagram. The peer writes them with its next batch, keeps them as it keeps its own, and confirms them, which releases the first events. What is not confirmed is handed over again at growing intervals; a peer that confirms nothing for 350 ms is replaced for 3 s. A peer that cannot write either ignores the request, hands nothing on, and does not believe itself what it stores for others: such streams may move.

Why it works: the record still has its one place, in the store, so that take-ups need not know who began a stream or who helped. Records with more moves hold whoever writes them, so that late, crossed and doubled messages and two writers do no harm. While the store can be written nothing is sent.

Weighed: telling all peers (33 KB/s at 360 instances), asking peers at each take-up (the holder may be killed next), and beginning no streams without the store (callers would be refused for an outage that only a few of them need).

--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -40,6 +40,9 @@
     /// the one with more moves holds.
     std::uint32_t moves = 0;
     std::uint64_t revision = 0; ///< Of the store's record as last known; zero if there is none.
+    /// Whether only another instance relays the stream, and has asked this one to store where it began. It
+    /// may have moved since.
+    bool relayed = false;
 };
 
 /// @brief The store's record of a stream, as found when another one was to be written.
@@ -58,7 +61,8 @@
 };
 
 /// @brief Software versions at which streams began, as this instance knows them.
-/// @remarks Holds the streams that began here or were taken up here.
+/// @remarks Holds the streams that began here or were taken up here, and those that this instance stores for
+/// others.
 struct stream_origins {
     static constexpr std::size_t max_streams = 16384;
     std::unordered_map<stream_tag, stream_origin> known;
@@ -88,11 +92,16 @@
 /// first event; it is removed once it expires, or earlier if there are too many.
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now);
 
-/// @brief Where a stream began; null if unknown.
+/// @brief Records an origin that another instance asks this one to store.
+/// @returns Whether the store has it already.
+bool record_relayed(stream_origins& origins, stream_origin origin, core::instant now);
+
+/// @brief Where a stream began that this instance relays or has relayed; null if unknown.
 [[nodiscard]] const stream_origin*
 find_origin(const stream_origins& origins, stream_tag stream, core::instant now);
 
-/// @brief Takes the next origins to be stored: those of services whose versions are mixed. Others stay.
+/// @brief Takes the next origins to be stored: those of services whose versions are mixed, and those stored
+/// for others. The rest stays.
 [[nodiscard]] std::vector<stream_origin>
 take_unstored(stream_origins& origins, std::size_t most, core::instant now);
 
--- a/include/hibiscusfall/peers/peer_exchange.hpp
+++ b/include/hibiscusfall/peers/peer_exchange.hpp
@@ -5,6 +5,8 @@
 #include "hibiscusfall/peers/catalog_copy.hpp"
 #include "hibiscusfall/peers/copy_requests.hpp"
 #include "hibiscusfall/peers/load_report.hpp"
+#include "hibiscusfall/peers/origin_helpers.hpp"
+#include "hibiscusfall/peers/origin_messages.hpp"
 #include "hibiscusfall/peers/report_batch.hpp"
 #include "hibiscusfall/relay/relay_server.hpp"
 
@@ -16,7 +18,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hibiscusfall::peers
@@ -49,6 +53,12 @@
     /// Called when a peer knows the evacuated domains at a later position of the store.
     std::function<void(const std::set<core::failure_domain_id>& domains, catalog::store_position position)>
         apply_evacuations;
+    /// Called when a peer asks this instance to store origins of streams that it relays.
+    std::function<void(const core::address& peer, std::vector<dispatch::stream_origin> origins)>
+        store_origins{};
+    /// Called when a peer has stored an origin, under the lease given; zero if it is not known.
+    std::function<void(dispatch::stream_tag stream, std::uint32_t moves, std::uint64_t lease)>
+        origin_stored{};
 };
 
 /// @brief Counters of the exchange.
@@ -77,6 +87,14 @@
     /// @brief Adds the address of an instance to report to.
     void add_member(const core::address& member);
 
+    /// @brief Asks a peer to store origins of streams. Nothing is sent while no peer is known to be able to.
+    void hand_over(std::span<const dispatch::stream_origin> origins, core::instant now);
+
+    /// @brief Tells a peer that origins which it has handed over are stored.
+    void confirm_origins(const core::address& peer,
+                         std::span<const dispatch::stream_origin> origins,
+                         std::uint64_t lease);
+
     [[nodiscard]] const exchange_counters& counts() const noexcept { return this->counters; }
 
 private:
@@ -123,6 +141,11 @@
     void update_catalog(core::instant now);
     relay::asio::awaitable<void> serve_copy(relay::asio::ip::tcp::socket accepted);
     relay::asio::awaitable<void> receive();
+    void apply_datagram(std::span<const char> bytes, const core::address& from, core::instant now);
+    void apply_reports(char kind, std::string_view reports, const core::address& from, core::instant now);
+    [[nodiscard]] bool
+    apply_origin_request(std::span<const char> bytes, const core::address& from, core::instant now);
+    [[nodiscard]] bool apply_origin_receipt(std::span<const char> bytes, const core::address& from);
     relay::asio::awaitable<void> serve_copies();
     void close_after_timeout(const std::shared_ptr<relay::asio::ip::tcp::socket>& connection);
     relay::asio::awaitable<void> fetch_copy(core::address from);
@@ -167,6 +190,7 @@
     core::address own_hub{};          ///< Not set while this instance is the hub or its domain needs none.
     std::array<char, 65536> datagram{};
     copy_requests requested_copies;
+    origin_helpers helpers;
     /// By source; a connection that is not here was replaced by another source's copy.
     std::map<core::address, std::shared_ptr<relay::asio::ip::tcp::socket>> copy_connections;
     bool is_hub = false; ///< Whether this instance is the hub of its domain.
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -16,6 +16,12 @@
     return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
+const stream_origin* find_known(const stream_origins& origins, stream_tag stream, core::instant now)
+{
+    const auto found = origins.known.find(stream);
+    return found == origins.known.end() || found->second.expires <= now ? nullptr : &found->second;
+}
+
 void remove_expired(stream_origins& origins, core::instant now)
 {
     auto& expiries = origins.expiries;
@@ -26,6 +32,22 @@
     }
 }
 
+/// Adds the origin of a stream that is not known yet.
+void add(stream_origins& origins, stream_origin origin, core::instant now)
+{
+    const auto stream = origin.stream;
+    // Deadlines differ, so that an origin may be kept a little past its own.
+    const auto last =
+        origins.expiries.empty() ? origin.expires : std::max(origin.expires, origins.expiries.back().first);
+    origins.known.emplace(stream, std::move(origin));
+    origins.expiries.emplace_back(last, stream);
+    origins.unstored.push_back(stream);
+    while (origins.unstored.size() > stream_origins::max_streams) {
+        origins.unstored.pop_front();
+    }
+    remove_expired(origins, now);
+}
+
 } // namespace
 
 stream_tag tag_of_stream(team_tag team, const core::service_id& service, std::string_view request_id)
@@ -103,36 +125,51 @@
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now)
 {
     remove_expired(origins, now);
-    const auto stream = origin.stream;
-    const auto expires = origin.expires;
-    if (expires <= now) {
+    if (origin.expires <= now) {
         return;
     }
-    const auto found = origins.known.find(stream);
-    if (found != origins.known.end()) {
-        if (found->second.version != origin.version) {
-            found->second.version = std::move(origin.version);
-            ++found->second.moves;
-            found->second.stored = false;
-            origins.unstored.push_back(stream);
-        }
+    const auto found = origins.known.find(origin.stream);
+    if (found == origins.known.end()) {
+        add(origins, std::move(origin), now);
         return;
     }
-    origins.known.emplace(stream, std::move(origin));
-    // Deadlines differ, so that an origin may be kept a little past its own.
-    const auto last = origins.expiries.empty() ? expires : std::max(expires, origins.expiries.back().first);
-    origins.expiries.emplace_back(last, stream);
-    origins.unstored.push_back(stream);
-    while (origins.unstored.size() > stream_origins::max_streams) {
-        origins.unstored.pop_front();
+    auto& known = found->second;
+    known.relayed = false;
+    if (known.version != origin.version) {
+        known.version = std::move(origin.version);
+        known.moves = std::max(known.moves + 1, origin.moves);
+        known.stored = false;
+        origins.unstored.push_back(origin.stream);
     }
+}
+
+bool record_relayed(stream_origins& origins, stream_origin origin, core::instant now)
+{
     remove_expired(origins, now);
+    if (origin.expires <= now) {
+        return false;
+    }
+    const auto found = origins.known.find(origin.stream);
+    if (found == origins.known.end()) {
+        origin.stored = false;
+        origin.relayed = true;
+        add(origins, std::move(origin), now);
+        return false;
+    }
+    auto& known = found->second;
+    if (known.moves < origin.moves) {
+        known.version = std::move(origin.version);
+        known.moves = origin.moves;
+        known.stored = false;
+        origins.unstored.push_back(origin.stream);
+    }
+    return known.stored;
 }
 
 const stream_origin* find_origin(const stream_origins& origins, stream_tag stream, core::instant now)
 {
-    const auto found = origins.known.find(stream);
-    return found == origins.known.end() || found->second.expires <= now ? nullptr : &found->second;
+    const auto* known = find_known(origins, stream, now);
+    return known == nullptr || known->relayed ? nullptr : known;
 }
 
 std::vector<stream_origin> take_unstored(stream_origins& origins, std::size_t most, core::instant now)
@@ -143,7 +180,7 @@
     while (!origins.unstored.empty() && batch.size() < most) {
         const auto stream = origins.unstored.front();
         origins.unstored.pop_front();
-        const auto* origin = find_origin(origins, stream, now);
+        const auto* origin = find_known(origins, stream, now);
         if (origin == nullptr) {
             continue;
         }
@@ -152,7 +189,7 @@
         if (origin->stored || taken) {
             continue;
         }
-        if (is_mixed(origins, origin->service)) {
+        if (origin->relayed || is_mixed(origins, origin->service)) {
             batch.push_back(*origin);
         } else {
             left.push_back(stream);
--- a/src/peers/exchange_limits.hpp
+++ b/src/peers/exchange_limits.hpp
@@ -12,6 +12,10 @@
 /// A member without a report for this long does not count as live, and is sent only periodic probes.
 inline constexpr core::duration member_timeout = std::chrono::seconds{3};
 
+/// First byte of a datagram that asks to store origins of streams, and of one that confirms them.
+inline constexpr char origin_request_message = 'O';
+inline constexpr char origin_receipt_message = 'S';
+
 /// Upper limit of reported ages; stands for an unknown age.
 inline constexpr std::uint32_t unknown_age_ms = 3600000;
 
--- a/src/peers/peer_exchange.cpp
+++ b/src/peers/peer_exchange.cpp
@@ -330,28 +330,49 @@
             continue; // ICMP error for an earlier datagram to a closed port
         }
         ++this->counters.received_datagrams;
-        if (length == 0) {
-            ++this->counters.malformed_datagrams;
-            continue;
-        }
-        bool malformed = false;
-        const std::string_view reports{this->datagram.data() + 1, length - 1};
-        const auto decoded = decode_all(reports, malformed);
-        this->counters.malformed_datagrams += malformed ? 1 : 0;
-        const auto now = relay::event_loop::now();
-        for (const auto& report : decoded) {
-            this->handle_report(report, now);
-        }
-        const auto sender = this->members.find({.host = from.address().to_string(), .port = from.port()});
-        if (sender != this->members.end()) {
-            sender->second.last_datagram = now;
-        }
-        if (this->datagram.front() == member_request && !decoded.empty() && !malformed) {
-            this->send_members({.host = from.address().to_string(), .port = from.port()}, now);
-        }
-        if (this->datagram.front() == domain_message && !malformed) {
-            this->forward(reports);
-        }
+        this->apply_datagram({this->datagram.data(), length},
+                             {.host = from.address().to_string(), .port = from.port()},
+                             relay::event_loop::now());
+    }
+}
+
+void peer_exchange::apply_datagram(std::span<const char> bytes, const core::address& from, core::instant now)
+{
+    if (bytes.empty()) {
+        ++this->counters.malformed_datagrams;
+        return;
+    }
+    const auto kind = bytes.front();
+    const auto content = bytes.subspan(1);
+    if (kind == origin_request_message || kind == origin_receipt_message) {
+        const bool known = kind == origin_request_message ? this->apply_origin_request(content, from, now)
+                                                          : this->apply_origin_receipt(content, from);
+        this->counters.malformed_datagrams += known ? 0 : 1;
+        return;
+    }
+    this->apply_reports(kind, {content.data(), content.size()}, from, now);
+}
+
+void peer_exchange::apply_reports(char kind,
+                                  std::string_view reports,
+                                  const core::address& from,
+                                  core::instant now)
+{
+    bool malformed = false;
+    const auto decoded = decode_all(reports, malformed);
+    this->counters.malformed_datagrams += malformed ? 1 : 0;
+    for (const auto& report : decoded) {
+        this->handle_report(report, now);
+    }
+    const auto sender = this->members.find(from);
+    if (sender != this->members.end()) {
+        sender->second.last_datagram = now;
+    }
+    if (kind == member_request && !decoded.empty() && !malformed) {
+        this->send_members(from, now);
+    }
+    if (kind == domain_message && !malformed) {
+        this->forward(reports);
     }
 }
 
--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -54,9 +54,14 @@
     explicit instance(const platform_store& store,
                       adapter::store_rates rates = {},
                       adapter::origin_times times = {})
+        : instance(store.address(), rates, times)
+    {
+    }
+
+    explicit instance(core::address store, adapter::store_rates rates = {}, adapter::origin_times times = {})
         : origins_in_store(
               this->loop,
-              store.address(),
+              std::move(store),
               rates,
               this->origins,
               [] { return 1U; },
@@ -185,6 +190,44 @@
         });
     }
 
+    /// @brief Hands origins to @p helper, which confirms them, as peers do with datagrams.
+    void hand_over_to(instance& helper)
+    {
+        this->on_loop([&] {
+            this->origins_in_store.set_peers({.hand_over = [&](std::span<const dispatch::stream_origin> due) {
+                boost::asio::post(helper.loop.context(),
+                                  [&helper, origins = std::vector(due.begin(), due.end())] {
+                                      helper.origins_in_store.store_for_peer(sender, origins);
+                                  });
+            }});
+            return true;
+        });
+        helper.on_loop([&] {
+            helper.origins_in_store.set_peers({.confirm = [this](
+                                                              const core::address& peer,
+                                                              std::span<const dispatch::stream_origin> stored,
+                                                              std::uint64_t lease) {
+                BOOST_TEST((peer == sender));
+                boost::asio::post(
+                    this->loop.context(), [this, origins = std::vector(stored.begin(), stored.end()), lease] {
+                        for (const auto& each : origins) {
+                            this->origins_in_store.note_stored_by_peer(each.stream, each.moves, lease);
+                        }
+                    });
+            }});
+            return true;
+        });
+    }
+
+    bool is_stored(const std::string& id)
+    {
+        return this->on_loop([&] {
+            const auto stream = dispatch::tag_of_stream(team, service, id);
+            const auto* origin = dispatch::find_origin(this->origins, stream, relay::event_loop::now());
+            return origin != nullptr && origin->stored;
+        });
+    }
+
     adapter::origin_counters counts()
     {
         return this->on_loop([&] { return this->origins_in_store.counts(); });
@@ -193,6 +236,8 @@
     std::atomic<int> version_changes{0};
 
 private:
+    inline static const core::address sender{.host = "10.0.0.7", .port = 7};
+
     relay::event_loop loop;
     dispatch::stream_origins origins;
     adapter::origin_store origins_in_store;
@@ -764,6 +809,67 @@
     BOOST_TEST(other.found("r1") == "v2");
 }
 
+// An instance without the store began streams whose versions nobody could learn once it had ended.
+BOOST_AUTO_TEST_CASE(a_stream_that_begins_without_the_store_is_stored_by_a_peer)
+{
+    platform_store store;
+    instance helper{store};
+    BOOST_REQUIRE(helper.serve({"v1", "v2"}));
+    {
+        instance cut{core::address{.host = "127.0.0.1", .port = 1}};
+        cut.hand_over_to(helper);
+        BOOST_REQUIRE(cut.serve({"v1", "v2"}));
+        cut.begin("r1", "v1");
+        cut.begin("r2", "v2");
+        BOOST_TEST(eventually([&] { return cut.is_stored("r1") && cut.is_stored("r2"); }));
+        BOOST_TEST(cut.counts().stored_by_peers == 2U);
+        // A request that moves is handed over again.
+        cut.begin("r1", "v2");
+        BOOST_TEST(!cut.is_stored("r1"));
+        BOOST_TEST(eventually([&] { return cut.is_stored("r1"); }));
+    }
+    BOOST_TEST(stored_streams(store) == 2U);
+    instance restarted{store};
+    BOOST_TEST(restarted.found("r1") == "v2");
+    BOOST_TEST(restarted.found("r2") == "v2");
+    // The helper does not relay these streams, so that it asks the store too.
+    BOOST_TEST(helper.found("r1") == "v2");
+}
+
+// What a peer has stored for an instance lasts as long as its streams, like what it writes itself.
+BOOST_AUTO_TEST_CASE(streams_stored_for_a_peer_are_written_again_after_a_loss)
+{
+    platform_store store;
+    instance helper{store};
+    BOOST_REQUIRE(helper.serve({"v1", "v2"}));
+    instance cut{core::address{.host = "127.0.0.1", .port = 1}};
+    cut.hand_over_to(helper);
+    BOOST_REQUIRE(cut.serve({"v1", "v2"}));
+    const auto earlier = store.snapshot();
+    cut.begin("r1", "v2");
+    BOOST_REQUIRE(eventually([&] { return cut.is_stored("r1"); }));
+    store.restore(earlier);
+    helper.learn_era(store.current_era());
+    BOOST_TEST(eventually([&] { return stored_streams(store) == 1; }));
+    store.expire_leases();
+    BOOST_TEST(eventually([&] { return stored_streams(store) == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_cannot_write_stores_nothing_for_its_peers)
+{
+    instance helper{core::address{.host = "127.0.0.1", .port = 1}};
+    BOOST_REQUIRE(helper.serve({"v1", "v2"}));
+    helper.begin("own", "v1");
+    BOOST_REQUIRE(eventually([&] { return helper.counts().failed_calls > 2; }));
+    instance cut{core::address{.host = "127.0.0.1", .port = 1}};
+    cut.hand_over_to(helper);
+    BOOST_REQUIRE(cut.serve({"v1", "v2"}));
+    cut.begin("r1", "v2");
+    BOOST_TEST(eventually([&] { return cut.counts().handed_over >= 2; })); // again and again
+    BOOST_TEST(!cut.is_stored("r1"));
+    BOOST_TEST(helper.found("r1") == "(unavailable)");
+}
+
 // The copy lacks a version at which streams began. An instance that starts then has seen no restoration.
 BOOST_AUTO_TEST_CASE(an_instance_that_starts_after_a_restoration_does_not_take_the_versions_for_complete)
 {
