Do not take a reset during the upload for the end of an answer

Callers got a part of an answer as a whole one: an endpoint answered a long upload at once, without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a reset is reported once for a socket. The write that was in progress got it; the read then found the end of the connection, which completes an answer without a length. Looking whether bytes have arrived takes the error from the socket in the same way.

Change: a connection remembers that an operation other than a read has failed, and its end then completes nothing. This is decided where bytes are received, for answers, streams and what is skipped. Answers with a length or in chunks do not depend on the end of their connection: an early one that is whole is passed on though the upload fails. An early answer without a length is whole if the endpoint ends the connection in order and reads on; if it resets it after that, it counts as broken off, as nothing shows that all of it came.

Related: catalog copies between instances state their size, uploads need a length or chunks. src/traffic, the relay of the project's own interface, was not changed: it was not tested for this.

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -389,7 +389,7 @@
     }
     // A response that has arrived is read first.
     const auto has_arrived = [](const std::shared_ptr<endpoint_connection>& link) {
-        return link && detail::has_unread_bytes(link->socket);
+        return link && detail::has_unread_bytes(*link);
     };
     const bool waits_for_endpoint = this->connection || this->second;
     if (!this->response_begun && waits_for_endpoint && !has_arrived(this->connection) &&
--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t max_unparsed_bytes = 65536;
 
 /// Receives more bytes into the connection's buffer.
+/// @param ended Set to whether the connection has ended in order, which completes a message without a length.
 asio::awaitable<read_result> receive(std::shared_ptr<endpoint_connection> connection, bool& ended)
 {
     ended = false;
@@ -39,7 +40,7 @@
     const auto received =
         co_await connection->socket.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     connection->buffer.commit(received);
-    ended = error == asio::error::eof;
+    ended = error == asio::error::eof && !connection->failed;
     if (!error) {
         co_return read_result::complete;
     }
@@ -111,6 +112,7 @@
         connection->sent_bytes = bytes;
         connection->sent_all = !error;
         connection->send_failed = bool{error};
+        connection->failed = connection->failed || error;
         connection->request_body.reset();
     });
 }
--- a/src/relay/endpoint_checks.cpp
+++ b/src/relay/endpoint_checks.cpp
@@ -113,8 +113,7 @@
     const auto end = co_await read_body(connection, parser);
     // An endpoint that rejects the request or ends the connection runs. On a late instance an answer may have
     // arrived unread.
-    const bool answers =
-        end != read_result::timed_out || parser.got_some() || has_unread_bytes(connection->socket);
+    const bool answers = end != read_result::timed_out || parser.got_some() || has_unread_bytes(*connection);
     connection->close();
     co_return answers;
 }
--- a/src/relay/endpoint_connection.cpp
+++ b/src/relay/endpoint_connection.cpp
@@ -34,7 +34,7 @@
 void expire(endpoint_connection& link, core::instant now)
 {
     if (link.extend) {
-        if (now < link.expires + unread_grace && has_unread_bytes(link.socket)) {
+        if (now < link.expires + unread_grace && has_unread_bytes(link)) {
             return;
         }
         link.expires = link.extend(now);
@@ -160,6 +160,17 @@
     return socket.is_open() && ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool has_unread_bytes(endpoint_connection& connection) noexcept
+{
+    if (!connection.socket.is_open()) {
+        return false;
+    }
+    char byte = 0;
+    const auto got = ::recv(connection.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    connection.failed = connection.failed || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    return got > 0;
+}
+
 bool is_unreachable(const error_code& error) noexcept
 {
     return error == asio::error::connection_refused || error == asio::error::timed_out ||
--- a/src/relay/endpoint_connection.hpp
+++ b/src/relay/endpoint_connection.hpp
@@ -45,6 +45,9 @@
     std::size_t sent_bytes = 0;
     bool sent_all = false;
     bool send_failed = false;
+    /// Whether anything but a read has reported an error of the socket. A reset is reported once: a later
+    /// read then finds the end of the connection as if it were an orderly one.
+    bool failed = false;
 
     void close() noexcept;
 
@@ -95,6 +98,9 @@
 /// @brief Whether bytes have arrived that were not read yet.
 [[nodiscard]] bool has_unread_bytes(tcp::socket& socket) noexcept;
 
+/// @brief As above; records an error that is found in place of bytes.
+[[nodiscard]] bool has_unread_bytes(endpoint_connection& connection) noexcept;
+
 /// @brief Whether the error of a connect shows that the endpoint cannot be reached, rather than a lack of
 /// resources here.
 [[nodiscard]] bool is_unreachable(const error_code& error) noexcept;
--- a/tests/traffic/scripted_endpoint.cpp
+++ b/tests/traffic/scripted_endpoint.cpp
@@ -66,6 +66,17 @@
     return result;
 }
 
+void endpoint_connection::drop_bytes(std::size_t count)
+{
+    boost::system::error_code error;
+    std::array<char, 4096> dropped{};
+    while (count > 0 && !error) {
+        const auto got = this->socket.read_some(asio::buffer(dropped), error);
+        this->used = this->used || got > 0;
+        count -= std::min(count, got);
+    }
+}
+
 bool endpoint_connection::try_write(std::string_view text)
 {
     boost::system::error_code error;
@@ -97,6 +108,13 @@
     this->socket.shutdown(tcp::socket::shutdown_both, ignored);
 }
 
+void endpoint_connection::shut_sending()
+{
+    const std::lock_guard lock(this->closing);
+    boost::system::error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void endpoint_connection::crash_endpoint()
 {
     this->owner.crash();
--- a/tests/traffic/scripted_endpoint.hpp
+++ b/tests/traffic/scripted_endpoint.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <functional>
 #include <list>
 #include <map>
@@ -50,6 +51,9 @@
     /// @throws unused_connection At the end of a connection without a request, which ends its script.
     std::optional<received_request> read_request();
 
+    /// @brief Reads about so many bytes of a request and drops them. The rest stays unread.
+    void drop_bytes(std::size_t count);
+
     void write(std::string_view text) { this->try_write(text); }
 
     /// @brief Writes.
@@ -64,6 +68,9 @@
 
     void shut();
 
+    /// @brief Ends what it sends, in order; what arrives can still be read.
+    void shut_sending();
+
     /// @brief Ends the whole endpoint: every connection breaks, and new ones are refused.
     void crash_endpoint();
 
