Treat a response whose status is none as malformed

Callers got answers with the status 0, 99 or 999: an endpoint in trouble had sent 000, 099 or 999 with id, stamp and length.

Cause: any three digits were a status. With the mark of a refusal such an answer was even believed: the request was sent to a second endpoint.

Evidence: an_answer_whose_status_is_none_is_not_passed_on and a_refusal_whose_ status_is_none_does_not_count_as_not_run fail on the code before: "HTTP/1.1 0 <unknown-status>", and 5 requests received in place of 4.

Change: 100 to 599 is a status (RFC 9110, section 15). A response with another number is malformed: the request may have run, the endpoint counts as failing, a request that may run again is sent elsewhere, others get 502.

--- a/src/relay/endpoint_answer.cpp
+++ b/src/relay/endpoint_answer.cpp
@@ -20,6 +20,9 @@
 constexpr int max_mismatched_responses = 3;
 /// Interim responses (1xx) that may precede a response.
 constexpr int max_interim_responses = 8;
+/// Numbers that are a status (RFC 9110, section 15); a response with another one is malformed.
+constexpr unsigned min_status = 100;
+constexpr unsigned max_status = 599;
 /// Size limit of a buffered response. The process uses 88 MB or more (DEPLOY.md); typical responses of plain
 /// services have 800 bytes.
 constexpr std::uint64_t max_buffered_bytes = 4U << 20U;
@@ -134,10 +137,11 @@
         if (end != read_result::complete) {
             co_return end;
         }
-        if (traffic::is_joined_head(result->get())) {
+        const auto status = result->get().result_int();
+        if (traffic::is_joined_head(result->get()) || status < min_status || status > max_status) {
             co_return read_result::malformed;
         }
-        if (result->get().result_int() / 100 == 1) {
+        if (status / 100 == 1) {
             ++interim;
             continue;
         }
--- a/tests/relay/broken_answer_test.cpp
+++ b/tests/relay/broken_answer_test.cpp
@@ -42,6 +42,22 @@
     connection.reset();
 }
 
+scripted_endpoint::script answering_with_status(const std::string& status)
+{
+    return [status](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            connection.write("HTTP/1.1 " + status + " Odd\r\nX-Request-Id: " + request->id +
+                             "\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\npart");
+        }
+    };
+}
+
+const scripted_endpoint::script sound = [](endpoint_connection& connection) {
+    while (const auto request = connection.read_request()) {
+        connection.write(signed_answer(request->id, "hello"));
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(broken_answer_test)
@@ -113,4 +129,42 @@
     BOOST_TEST(answer.ends_with("whole"));
 }
 
+// A caller got the answer of an endpoint in trouble with the status 000.
+BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_is_not_passed_on)
+{
+    for (const std::string status : {"000", "099", "600", "999"}) {
+        relay_fixture fixture{{answering_with_status(status)}, route_of(route_kind::non_idempotent)};
+        const auto answer = fixture.ask(request_bytes("1"));
+        BOOST_TEST(contains(answer, "HTTP/1.1 502"), status << ": " << answer.substr(0, 100));
+        BOOST_TEST(!contains(answer, "part"));
+    }
+    relay_fixture fixture{{answering_with_status("599")}, route_of(route_kind::non_idempotent)};
+    BOOST_TEST(contains(fixture.ask(request_bytes("1")), "599"));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_may_run_again_is_sent_elsewhere_after_an_answer_without_a_status)
+{
+    relay_fixture fixture{{answering_with_status("000"), sound}, route_of(route_kind::idempotent, 2)};
+    for (int i = 0; i < 4; ++i) {
+        BOOST_TEST(contains(fixture.ask(request_bytes(std::to_string(i))), "HTTP/1.1 200"));
+    }
+}
+
+// Without a status, the words of a refusal are not believed: the request may have run.
+BOOST_AUTO_TEST_CASE(a_refusal_whose_status_is_none_does_not_count_as_not_run)
+{
+    const scripted_endpoint::script refusing = [](endpoint_connection& connection) {
+        while (const auto request = connection.read_request()) {
+            auto refusal = not_run_answer(request->id);
+            connection.write(refusal.replace(refusal.find("503"), 3, "000"));
+        }
+    };
+    relay_fixture fixture{{refusing, sound}, route_of(route_kind::non_idempotent, 2)};
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = fixture.ask(request_bytes(std::to_string(i)));
+        BOOST_TEST(!contains(answer, "HTTP/1.1 503"));
+    }
+    BOOST_TEST(fixture.received().size() == 4U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
