Hold the first event of a request that moved until its version is stored

A request that moved to another version before its first event got that event after 400 ms also when the new version could not be written. The store may have the version of the attempt before: had the instance ended then, another one would have continued the stream at that version.

Streams that did not move wait for 400 ms as before: the store has no other version of them.

--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -123,6 +123,8 @@
 }
 
 /// Waits until the store knows where the stream begins, as another instance may need it to continue it.
+/// @remarks The store may have the version of an earlier attempt: if this instance ended, the stream would be
+/// continued there. Such a stream waits for as long as its caller does.
 asio::awaitable<void> hold_until_stored(request_state& state)
 {
     auto& server = state.server;
@@ -131,7 +133,8 @@
            dispatch::is_mixed(server.origins, state.service)) {
         const auto now = event_loop::now();
         const auto* origin = dispatch::find_origin(server.origins, stream_of(state), now);
-        if (origin == nullptr || origin->stored || now >= limit || state.caller.is_disconnected()) {
+        if (origin == nullptr || origin->stored || state.caller.is_disconnected() ||
+            now >= (origin->moves > 0 ? state.deadline : limit)) {
             co_return;
         }
         co_await server.loop.sleep(core::duration{origin_hold_step});
--- a/tests/relay/software_version_test.cpp
+++ b/tests/relay/software_version_test.cpp
@@ -212,4 +212,42 @@
     BOOST_TEST(fixture.endpoint(0).requests().empty());
 }
 
+// While the store cannot be written it may have the version of the attempt before. An instance that ended
+// then had passed events of another version on.
+BOOST_AUTO_TEST_CASE(a_request_that_moved_to_another_version_gets_no_event_before_that_is_stored)
+{
+    std::atomic<int> requests{0};
+    const scripted_endpoint::script script = [&](endpoint_connection& connection) {
+        const auto request = connection.read_request();
+        if (!request) {
+            return;
+        }
+        if (request->id == "moves" && requests++ == 0) {
+            connection.reset();
+            return;
+        }
+        connection.write(signed_stream_head(request->id) + event_chunks(1, 7));
+        connection.write(last_chunk);
+    };
+    relay_fixture fixture{{script, script}, stream_route(), {"v1", "v2"}};
+    fixture.run_on_loop([](relay::relay_server& server) {
+        dispatch::record_registered(server.origins, core::service_id{"desk"}, {"v1", "v2"});
+        server.set_origin_lookup(
+            [](core::service_id, dispatch::stream_tag) -> relay::asio::awaitable<relay::origin_reading> {
+                co_return relay::origin_reading{};
+            });
+    });
+    BOOST_TEST(fixture.ask(request_bytes("stays")).ends_with(last_chunk)); // after a while
+    raw_caller caller{fixture.port()};
+    caller.send(request_bytes("moves"));
+    BOOST_TEST(caller.read_until(numbered_event(1), 1500ms).empty());
+    fixture.run_on_loop([](relay::relay_server& server) {
+        for (auto& [stream, origin] : server.origins.known) {
+            origin.stored = true;
+        }
+    });
+    BOOST_TEST(caller.read_all().ends_with(last_chunk));
+    BOOST_TEST(fixture.received().size() == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
