--- a/include/hibiscusfall/peers/origin_helpers.hpp
+++ b/include/hibiscusfall/peers/origin_helpers.hpp
@@ -25,20 +25,20 @@
     /// Time for which a peer that confirmed nothing is not asked again.
     static constexpr core::duration exclusion_time = std::chrono::seconds{3};
 
-    std::optional<core::address> current;
+    core::address current{};               ///< Not set while there is none.
     std::optional<core::instant> asked_at; ///< First request that the current peer has not confirmed.
     std::map<core::address, core::instant> excluded; ///< Peers, with the end of their exclusion.
 };
 
 /// @brief Chooses the peer to ask now, and records that it is asked.
 /// @param candidates The live peers that do not leave.
-/// @returns Nothing if all peers are excluded.
+/// @returns An address that is not set if all peers are excluded.
 /// @remarks The same peer is asked as long as it confirms, so that it writes few batches. Different instances
 /// choose different peers, as many of them may lose the store at once.
-[[nodiscard]] std::optional<core::address> choose_helper(origin_helpers& helpers,
-                                                         std::string_view own_name,
-                                                         std::span<const helper_candidate> candidates,
-                                                         core::instant now);
+[[nodiscard]] core::address choose_helper(origin_helpers& helpers,
+                                          std::string_view own_name,
+                                          std::span<const helper_candidate> candidates,
+                                          core::instant now);
 
 /// @brief Records that a peer has confirmed origins.
 void record_receipt(origin_helpers& helpers, const core::address& from);
--- a/src/peers/origin_exchange.cpp
+++ b/src/peers/origin_exchange.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace hibiscusfall::peers
@@ -44,7 +45,7 @@
     const auto helper = choose_helper(this->helpers, this->entry.options.instance.view(), candidates, now);
     if (helper != before) {
         telemetry::write(telemetry::log_event{"stream_origins_helper"}
-                             .with("peer", helper ? core::to_string(*helper) : std::string{"none"})
+                             .with("peer", helper ? core::to_string(helper) : std::string{"none"})
                              .with("known", candidates.size()));
     }
     if (!helper) {
@@ -56,7 +57,7 @@
                    origins.end(),
                    std::back_inserter(request.origins),
                    [now](const auto& each) { return to_entry(each, now); });
-    this->send_to(*helper, origin_request_message + encode(request));
+    this->send_to(helper, origin_request_message + encode(request));
 }
 
 void peer_exchange::confirm_origins(const core::address& peer,
--- a/src/peers/origin_helpers.cpp
+++ b/src/peers/origin_helpers.cpp
@@ -21,22 +21,22 @@
 
 } // namespace
 
-std::optional<core::address> choose_helper(origin_helpers& helpers,
-                                           std::string_view own_name,
-                                           std::span<const helper_candidate> candidates,
-                                           core::instant now)
+core::address choose_helper(origin_helpers& helpers,
+                            std::string_view own_name,
+                            std::span<const helper_candidate> candidates,
+                            core::instant now)
 {
     std::erase_if(helpers.excluded, [now](const auto& each) { return each.second <= now; });
     if (helpers.current && helpers.asked_at && now - *helpers.asked_at >= origin_helpers::patience) {
-        helpers.excluded[*helpers.current] = now + origin_helpers::exclusion_time;
-        helpers.current.reset();
+        helpers.excluded[helpers.current] = now + origin_helpers::exclusion_time;
+        helpers.current = {};
     }
     const auto is_candidate = [&](const core::address& address) {
         return std::any_of(
             candidates.begin(), candidates.end(), [&](const auto& each) { return each.address == address; });
     };
-    if (helpers.current && !is_candidate(*helpers.current)) {
-        helpers.current.reset();
+    if (helpers.current && !is_candidate(helpers.current)) {
+        helpers.current = {};
     }
     if (!helpers.current) {
         helpers.asked_at.reset();
@@ -48,7 +48,7 @@
             }
         }
         if (best == nullptr) {
-            return std::nullopt;
+            return {};
         }
         helpers.current = best->address;
     }
--- a/tests/peers/origin_helpers_test.cpp
+++ b/tests/peers/origin_helpers_test.cpp
@@ -67,10 +67,10 @@
     const fleet others{8};
     origin_helpers helpers;
     const auto first = choose_helper(helpers, "me", others.candidates(), start);
-    BOOST_REQUIRE(first.has_value());
+    BOOST_REQUIRE(static_cast<bool>(first));
     for (auto now = start; now < start + 5s; now += 100ms) {
         BOOST_TEST((choose_helper(helpers, "me", others.candidates(), now) == first));
-        peers::record_receipt(helpers, *first);
+        peers::record_receipt(helpers, first);
     }
 }
 
@@ -82,13 +82,13 @@
     BOOST_TEST((choose_helper(helpers, "me", others.candidates(), start + 300ms) == first));
     const auto second = choose_helper(helpers, "me", others.candidates(), start + 400ms);
     BOOST_TEST((second && second != first));
-    others.remove(*second);
+    others.remove(second);
     const auto third = choose_helper(helpers, "me", others.candidates(), start + 500ms);
     BOOST_TEST((third && third != first && third != second));
     // Nobody is left until the first one is tried again.
-    BOOST_TEST(!choose_helper(helpers, "me", others.candidates(), start + 900ms).has_value());
+    BOOST_TEST(!choose_helper(helpers, "me", others.candidates(), start + 900ms));
     BOOST_TEST((choose_helper(helpers, "me", others.candidates(), start + 3400ms) == first));
-    BOOST_TEST(!choose_helper(helpers, "me", {}, start + 10s).has_value());
+    BOOST_TEST(!choose_helper(helpers, "me", {}, start + 10s));
 }
 
 BOOST_AUTO_TEST_CASE(a_late_receipt_ends_the_exclusion_of_its_sender)
@@ -97,7 +97,7 @@
     origin_helpers helpers;
     const auto first = choose_helper(helpers, "me", others.candidates(), start);
     const auto second = choose_helper(helpers, "me", others.candidates(), start + 400ms);
-    peers::record_receipt(helpers, *first);
+    peers::record_receipt(helpers, first);
     BOOST_TEST((choose_helper(helpers, "me", others.candidates(), start + 800ms) == first));
     BOOST_TEST((first != second));
 }
@@ -111,7 +111,7 @@
     }
     origin_helpers helpers;
     BOOST_TEST((choose_helper(helpers, "me", candidates, start) == address(5)));
-    BOOST_TEST(choose_helper(helpers, "me", candidates, start + 400ms).has_value());
+    BOOST_TEST(static_cast<bool>(choose_helper(helpers, "me", candidates, start + 400ms)));
 }
 
 // A domain that loses the store at once must not load one helper.
@@ -121,7 +121,7 @@
     std::set<core::address> chosen;
     for (int i = 0; i < 16; ++i) {
         origin_helpers helpers;
-        chosen.insert(*choose_helper(helpers, "cut-" + std::to_string(i), others.candidates(), start));
+        chosen.insert(choose_helper(helpers, "cut-" + std::to_string(i), others.candidates(), start));
     }
     BOOST_TEST(chosen.size() >= 10U);
 }
