--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -938,6 +938,39 @@
     BOOST_TEST(registered(store) == "v1,");
 }
 
+// "Not known" tells the caller not to come back, though the set that has just been confirmed names the
+// version.
+BOOST_AUTO_TEST_CASE(a_take_up_during_which_the_versions_are_confirmed_is_asked_to_come_back)
+{
+    platform_store store;
+    {
+        instance one{store};
+        BOOST_REQUIRE(one.serve({"v1"}));
+    }
+    store.restore(store.snapshot());
+    const auto set = store.keys("versions/").front();
+    instance started{store};
+    BOOST_REQUIRE(started.serve({"v1"}));
+    std::atomic<bool> confirmed{false};
+    std::atomic<int> readings{0};
+    std::atomic<int> readings_confirmed{0};
+    store.set_before_read([&](const std::string& key) {
+        if (key != set) {
+            store.put(set, R"({"service":"s1","versions":["v1"],"era":2})");
+            confirmed = true;
+            eventually([&] { return readings_confirmed > 0; }, 300ms);
+            std::this_thread::sleep_for(50ms);
+        } else if (++readings > 1) { // by the registration that the take-up has requested
+            eventually([&] { return confirmed.load(); }, 300ms);
+            ++readings_confirmed;
+        }
+    });
+    BOOST_TEST(started.found("r1") == "(unavailable)");
+    BOOST_TEST(readings_confirmed > 0);
+    store.set_before_read({});
+    BOOST_TEST(eventually([&] { return started.found("r1") == "v1"; }));
+}
+
 BOOST_AUTO_TEST_CASE(a_store_that_states_no_era_is_taken_to_be_complete)
 {
     platform_store store;
--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -129,6 +129,12 @@
     this->before_change = std::move(call);
 }
 
+void platform_store::set_before_read(std::function<void(const std::string& key)> call)
+{
+    const std::lock_guard lock(this->mutex);
+    this->before_read = std::move(call);
+}
+
 void platform_store::expire_lease_of(const std::string& key)
 {
     const std::lock_guard lock(this->mutex);
@@ -390,6 +396,14 @@
 
 platform_store::answer platform_store::handle_key(const std::string& key)
 {
+    std::function<void(const std::string&)> before;
+    {
+        const std::lock_guard lock(this->mutex);
+        before = this->before_read;
+    }
+    if (before) {
+        before(key);
+    }
     const std::lock_guard lock(this->mutex);
     if (!this->items.contains(key)) {
         return this->make_answer(404, "{}");
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -95,6 +95,9 @@
     /// @brief Carries out the changes without a response, the oldest first, as far as their conditions hold.
     void carry_out_lost_changes();
 
+    /// @brief Sets what is called before the reading of a key is answered, on the connection's thread.
+    void set_before_read(std::function<void(const std::string& key)> call);
+
     /// @brief Drops the history, so that watches from an earlier revision get status 410.
     void compact();
 
@@ -166,6 +169,7 @@
     std::map<std::uint64_t, std::chrono::milliseconds> lease_times;        ///< From a renewal to the end.
     std::uint64_t next_lease = 77120;
     std::function<void()> before_change;
+    std::function<void(const std::string& key)> before_read;
     std::vector<std::string> lost_changes; ///< Their bodies.
     std::uint64_t revision = 1;
     std::uint64_t compacted_revision = 0; ///< Watches from before this revision are refused.
