Hold a first event only while the store may have an earlier version

A request that had moved to another version waited for its record as long as its caller did, also when no record of the earlier version had ever been offered to the store or to a peer: withheld on no evidence.

Change: an origin remembers whether it was in a batch or handed to a peer, and a move keeps that of the version before.

--- a/include/hibiscusfall/dispatch/origin_handover.hpp
+++ b/include/hibiscusfall/dispatch/origin_handover.hpp
@@ -33,7 +33,7 @@
 /// @brief Takes the origins that are to be handed over now, those never handed over first.
 /// @returns Nothing while the instance can write itself.
 [[nodiscard]] std::vector<stream_origin>
-take_due(origin_handover& handover, const stream_origins& origins, std::size_t most, core::instant now);
+take_due(origin_handover& handover, stream_origins& origins, std::size_t most, core::instant now);
 
 /// @brief Records that a peer has stored the origin with these moves.
 /// @returns Whether that is what this instance knows; otherwise the request has moved meanwhile.
--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -40,6 +40,9 @@
     /// the one with more moves holds.
     std::uint32_t moves = 0;
     std::uint64_t revision = 0; ///< Of the store's record as last known; zero if there is none.
+    bool offered = false;       ///< Whether this version was in a batch to the store, or handed to a peer.
+    /// Whether the store may have the version of an earlier attempt.
+    bool superseded = false;
     /// Whether only another instance relays the stream, and has asked this one to store where it began. It
     /// may have moved since.
     bool relayed = false;
--- a/src/dispatch/origin_handover.cpp
+++ b/src/dispatch/origin_handover.cpp
@@ -16,7 +16,7 @@
 } // namespace
 
 std::vector<stream_origin>
-take_due(origin_handover& handover, const stream_origins& origins, std::size_t most, core::instant now)
+take_due(origin_handover& handover, stream_origins& origins, std::size_t most, core::instant now)
 {
     if (!handover.needed) {
         handover.requests.clear();
@@ -26,8 +26,8 @@
         const auto known = origins.known.find(each.first);
         return known == origins.known.end() || !is_waiting(origins, known->second, now);
     });
-    std::vector<std::pair<std::uint32_t, const stream_origin*>> due; // with the number of earlier requests
-    for (const auto& [stream, origin] : origins.known) {
+    std::vector<std::pair<std::uint32_t, stream_origin*>> due; // with the number of earlier requests
+    for (auto& [stream, origin] : origins.known) {
         if (!is_waiting(origins, origin, now)) {
             continue;
         }
@@ -56,6 +56,7 @@
         handover.requests[origin->stream] = {.moves = origin->moves,
                                              .count = count + 1,
                                              .next = now + std::min(interval, handover.times.max_repeat)};
+        origin->offered = true;
         result.push_back(*origin);
     }
     return result;
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -16,7 +16,9 @@
     return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
-const stream_origin* find_known(const stream_origins& origins, stream_tag stream, core::instant now)
+/// Finds the origin in constant or other origins.
+template <class origins_type>
+auto* find_known(origins_type& origins, stream_tag stream, core::instant now)
 {
     const auto found = origins.known.find(stream);
     return found == origins.known.end() || found->second.expires <= now ? nullptr : &found->second;
@@ -138,6 +140,8 @@
     if (known.version != origin.version) {
         known.version = std::move(origin.version);
         known.moves = std::max(known.moves + 1, origin.moves);
+        known.superseded = known.superseded || known.offered;
+        known.offered = false;
         known.stored = false;
         origins.unstored.push_back(origin.stream);
     }
@@ -180,7 +184,7 @@
     while (!origins.unstored.empty() && batch.size() < most) {
         const auto stream = origins.unstored.front();
         origins.unstored.pop_front();
-        const auto* origin = find_known(origins, stream, now);
+        auto* origin = find_known(origins, stream, now);
         if (origin == nullptr) {
             continue;
         }
@@ -190,6 +194,7 @@
             continue;
         }
         if (origin->relayed || is_mixed(origins, origin->service)) {
+            origin->offered = true;
             batch.push_back(*origin);
         } else {
             left.push_back(stream);
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -123,8 +123,8 @@
 }
 
 /// Waits until the store knows where the stream begins, as another instance may need it to continue it.
-/// @remarks The store may have the version of an earlier attempt: if this instance ended, the stream would be
-/// continued there. Such a stream waits for as long as its caller does.
+/// @remarks If the store may have the version of an earlier attempt, the stream waits for as long as its
+/// caller does: another instance would continue it at that version.
 asio::awaitable<void> hold_until_stored(request_state& state)
 {
     auto& server = state.server;
@@ -134,7 +134,7 @@
         const auto now = event_loop::now();
         const auto* origin = dispatch::find_origin(server.origins, stream_of(state), now);
         if (origin == nullptr || origin->stored || state.caller.is_disconnected() ||
-            now >= (origin->moves > 0 ? state.deadline : limit)) {
+            now >= (origin->superseded ? state.deadline : limit)) {
             co_return;
         }
         co_await server.loop.sleep(core::duration{origin_hold_step});
--- a/tests/dispatch/stream_origins_test.cpp
+++ b/tests/dispatch/stream_origins_test.cpp
@@ -200,6 +200,22 @@
     BOOST_TEST(dispatch::take_unstored(origins, 8, start).front().revision == 0U);
 }
 
+// Only then does the first event have to wait for the record of the version that the request moved to.
+BOOST_AUTO_TEST_CASE(an_earlier_version_may_be_in_the_store_only_if_it_was_offered)
+{
+    stream_origins origins;
+    (void)dispatch::update_versions(origins, list({"v1", "v2"}));
+    dispatch::record_origin(origins, origin(1, "v1"), start);
+    dispatch::record_origin(origins, origin(2, "v1"), start);
+    BOOST_TEST(dispatch::take_unstored(origins, 1, start).size() == 1U);
+    dispatch::record_origin(origins, origin(1, "v2"), start);
+    dispatch::record_origin(origins, origin(2, "v2"), start);
+    BOOST_TEST(origins.known.at(1).superseded);
+    BOOST_TEST(!origins.known.at(2).superseded);
+    dispatch::record_origin(origins, origin(1, "v1"), start); // moves again before the next batch
+    BOOST_TEST(origins.known.at(1).superseded);
+}
+
 BOOST_AUTO_TEST_CASE(only_streams_of_mixed_services_are_taken_and_others_wait)
 {
     stream_origins origins;
