--- a/include/hibiscusfall/relay/origin_lookup.hpp
+++ b/include/hibiscusfall/relay/origin_lookup.hpp
@@ -13,7 +13,7 @@
 /// @brief What is known of where a stream began.
 enum class origin_state : std::uint8_t {
     known,
-    unknown,    ///< Endpoints of several versions serve, and nothing tells at which of them it began.
+    unknown,    ///< Endpoints of several versions serve, and it is not recorded at which of them it began.
     unavailable ///< The store, which may know it, cannot be read now.
 };
 
--- a/include/hibiscusfall/relay/relay_server.hpp
+++ b/include/hibiscusfall/relay/relay_server.hpp
@@ -103,7 +103,7 @@
     /// be taken up begin only at versions that are registered.
     void set_origin_lookup(origin_lookup lookup);
 
-    /// @brief What the endpoint list alone tells of where a stream of the service began.
+    /// @brief Where a stream of the service began, by the endpoint list alone.
     [[nodiscard]] origin_reading origin_without_store(const core::service_id& service) const;
 
     /// @brief Puts changed versions at which streams may begin into effect.
