--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace standin
 {
@@ -93,7 +94,8 @@
 
 } // namespace
 
-store::store(const address& at, planner plan) : plan_call(std::move(plan))
+store::store(const address& at, planner plan, milliseconds idle)
+    : plan_call(std::move(plan)), idle_limit(idle)
 {
     socket = std::make_unique<listener>(at, [this](connection& client) { serve(client); });
 }
@@ -187,7 +189,7 @@
 void store::serve(connection& client)
 {
     while (true) {
-        const auto request = client.receive(milliseconds{60000}, false);
+        const auto request = client.receive(idle_limit, false);
         if (!request || stopping) {
             return;
         }
@@ -222,6 +224,18 @@
     case call_plan::kind::refuse_503:
         sleep_for(milliseconds{4});
         return client.send(response(503, "{}"));
+    case call_plan::kind::done_late:
+        std::thread{[this, call, delay = plan.delay] {
+            sleep_for(delay);
+            int ignored = 200;
+            if (!stopping) {
+                execute(call, ignored);
+            }
+        }}.detach();
+        while (!stopping && !client.ended_by_peer()) {
+            sleep_for(milliseconds{20});
+        }
+        return false;
     default:
         break;
     }
--- a/review/standins-3/store.hpp
+++ b/review/standins-3/store.hpp
@@ -15,7 +15,7 @@
 
 /// @brief What the store does with one call.
 struct call_plan {
-    enum class kind { serve, no_answer, refuse_503, reset, done_without_answer };
+    enum class kind { serve, no_answer, refuse_503, reset, done_without_answer, done_late };
     kind what = kind::serve;
     milliseconds delay{4};                   ///< Before the call is executed.
     std::optional<milliseconds> cut_after{}; ///< When a watch that still waits is cut.
@@ -35,7 +35,8 @@
 {
 public:
     using planner = std::function<call_plan(const call_info&)>;
-    store(const address& at, planner plan);
+    /// @param idle Time after which a connection without a call is closed.
+    store(const address& at, planner plan, milliseconds idle = milliseconds{60000});
     ~store();
     store(const store&) = delete;
     store& operator=(const store&) = delete;
@@ -69,6 +70,7 @@
     void end_leases();
 
     planner plan_call;
+    milliseconds idle_limit;
     std::mutex guard;
     std::condition_variable changed;
     std::map<std::string, item> items;
