--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -12,5 +12,6 @@
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
     g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" "$out/http.o" "$out/store.o" "$out/fleet.o" \
-        -o "$out/case-$number"
+        -o "$out/case-$number.new"
+    mv "$out/case-$number.new" "$out/case-$number"
 done
