--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,9 +5,8 @@
 out=build/review-3
 mkdir -p "$out"
 for part in http store fleet; do
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "review/standins-3/$part.cpp" -o "$out/$part.o" &
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -c "review/standins-3/$part.cpp" -o "$out/$part.o"
 done
-wait
 for source in review/1[1-5]/case.cpp; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
--- a/review/standins-3/fleet.cpp
+++ b/review/standins-3/fleet.cpp
@@ -219,6 +219,11 @@
 }
 
 temporary_folder::~temporary_folder()
+{
+    remove();
+}
+
+void temporary_folder::remove() const
 {
     if (!path.empty() && std::getenv("KEEP_LOGS") == nullptr) {
         std::error_code ignored;
@@ -226,6 +231,15 @@
     }
 }
 
+bool all_running(const std::vector<std::unique_ptr<entry>>& entries, std::size_t first)
+{
+    bool result = true;
+    for (auto i = first; i < entries.size(); ++i) {
+        result = entries[i]->is_running() && result;
+    }
+    return result;
+}
+
 bool is_calm()
 {
     const char* given = std::getenv("TROUBLE");
--- a/review/standins-3/fleet.hpp
+++ b/review/standins-3/fleet.hpp
@@ -5,6 +5,8 @@
 #include <atomic>
 #include <fstream>
 #include <sys/types.h>
+#include <thread>
+#include <vector>
 
 /// @file
 /// @brief Instances of hibiscusfall-entry as processes, servers, and the record of a case.
@@ -103,9 +105,13 @@
     ~temporary_folder();
     temporary_folder(const temporary_folder&) = delete;
     temporary_folder& operator=(const temporary_folder&) = delete;
+    void remove() const;
     std::string path;
 };
 
+/// @brief Whether none of the instances has ended by itself.
+[[nodiscard]] bool all_running(const std::vector<std::unique_ptr<entry>>& entries, std::size_t first = 0);
+
 /// @brief Whether the disruption is to be left out (TROUBLE=0).
 [[nodiscard]] bool is_calm();
 
