--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -182,7 +182,7 @@
 
 int main(int count, char** arguments)
 {
-    const bool calm = is_calm();
+    const bool calm = is_calm(count, arguments);
     record notes{count > 1 ? arguments[1] : "record.txt"};
     notes.line(calm ? "without the disruption" : "with a machine that stands still");
     const temporary_folder folder;
--- a/review/standins-3/fleet.cpp
+++ b/review/standins-3/fleet.cpp
@@ -240,10 +240,9 @@
     return result;
 }
 
-bool is_calm()
+bool is_calm(int count, char** arguments)
 {
-    const char* given = std::getenv("TROUBLE");
-    return given != nullptr && std::string_view{given} == "0";
+    return count > 2 && std::string_view{arguments[2]} == "0";
 }
 
 std::string loopback_host(int number)
--- a/review/standins-3/fleet.hpp
+++ b/review/standins-3/fleet.hpp
@@ -112,8 +112,8 @@
 /// @brief Whether none of the instances has ended by itself.
 [[nodiscard]] bool all_running(const std::vector<std::unique_ptr<entry>>& entries, std::size_t first = 0);
 
-/// @brief Whether the disruption is to be left out (TROUBLE=0).
-[[nodiscard]] bool is_calm();
+/// @brief Whether the disruption is to be left out: run.sh passes TROUBLE on as the second argument.
+[[nodiscard]] bool is_calm(int count, char** arguments);
 
 /// @brief A loopback host of this case, so that cases at the same time do not meet.
 [[nodiscard]] std::string loopback_host(int number);
