--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -108,9 +108,8 @@
     [[nodiscard]] bool is_up() const { return *alive; }
     void crash()
     {
-        running.fall_silent();
-        running.stop();
         *alive = false;
+        running.crash();
     }
     server& get() { return running; }
 
@@ -230,7 +229,7 @@
     std::vector<std::thread> clients;
     for (int number = 0; number < streams; ++number) {
         clients.emplace_back([&, number] {
-            constexpr milliseconds deadline{15000};
+            constexpr milliseconds deadline{12000};
             const auto begin = steady::now();
             const auto id = "s" + std::to_string(number);
             const question asked{
@@ -264,7 +263,7 @@
                       asked,
                       id,
                       {},
-                      milliseconds{15000},
+                      milliseconds{12000},
                       notes,
                       got_event);
             begun += got_event ? 1 : 0;
--- a/review/standins-3/fleet.cpp
+++ b/review/standins-3/fleet.cpp
@@ -15,6 +15,13 @@
 namespace standin
 {
 
+namespace
+{
+
+constexpr milliseconds heartbeat{1200}; // heartbeat-ms
+
+} // namespace
+
 record::record(const std::string& path) : file(path) {}
 
 double record::now() const
@@ -181,9 +188,14 @@
         beats = std::thread{[this] {
             auto next = steady::now();
             while (!ended) {
-                next += milliseconds{1200}; // heartbeat-ms
+                next += heartbeat;
                 while (!ended && steady::now() < next) {
                     sleep_for(milliseconds{20});
+                    const std::lock_guard inner{guard};
+                    if (lapses_at && steady::now() >= *lapses_at) {
+                        lapses_at.reset();
+                        registry.remove("servers/" + given.id);
+                    }
                 }
                 const std::lock_guard inner{guard};
                 if (!ended && !state.empty()) {
@@ -205,11 +217,13 @@
 {
     const std::lock_guard lock{guard};
     state.clear();
+    lapses_at = steady::now() + 3 * heartbeat;
 }
 
-void server::stop()
+void server::crash()
 {
-    socket->stop();
+    fall_silent();
+    socket->abort();
 }
 
 temporary_folder::temporary_folder()
--- a/review/standins-3/fleet.hpp
+++ b/review/standins-3/fleet.hpp
@@ -80,8 +80,8 @@
     server& operator=(const server&) = delete;
     void register_entry(const std::string& state = "ready"); ///< Writes its entry and keeps writing it.
     instant leave_store();                                   ///< Its entry goes; it still serves.
-    void fall_silent();                                      ///< It writes no more.
-    void stop();                                             ///< Serves no more.
+    void fall_silent(); ///< It writes no more; its entry goes after three heartbeats.
+    void crash();       ///< Ends as its process does: its port, its connections and what it runs.
     [[nodiscard]] const options& about() const { return given; }
 
 private:
@@ -91,6 +91,7 @@
     std::int64_t born;
     std::mutex guard;
     std::string state;
+    std::optional<instant> lapses_at;
     int sequence = 0;
     std::atomic<bool> ended{false};
     std::thread beats;
--- a/review/standins-3/http.cpp
+++ b/review/standins-3/http.cpp
@@ -5,9 +5,11 @@
 #include <cerrno>
 #include <fcntl.h>
 #include <memory>
+#include <mutex>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
@@ -107,6 +109,9 @@
 void connection::close()
 {
     if (descriptor >= 0) {
+        if (closes) {
+            closes(descriptor);
+        }
         ::close(descriptor);
         descriptor = -1;
     }
@@ -274,6 +279,9 @@
     int descriptor = -1;
     handler run;
     std::thread accepting;
+    std::mutex guard;
+    std::set<int> open;
+    bool aborted = false;
 };
 
 listener::listener(const address& at, handler run) : shared(std::make_shared<state>())
@@ -295,8 +303,19 @@
             }
             const int no_delay = 1;
             ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &no_delay, sizeof no_delay);
+            {
+                const std::lock_guard lock{kept->guard};
+                if (kept->aborted) {
+                    ::close(accepted);
+                    continue;
+                }
+                kept->open.insert(accepted);
+            }
             std::thread{[kept, accepted] {
-                connection client{accepted};
+                connection client{accepted, [kept](int closing) {
+                                      const std::lock_guard lock{kept->guard};
+                                      kept->open.erase(closing);
+                                  }};
                 kept->run(client);
             }}.detach();
         }
@@ -315,6 +334,16 @@
     }
 }
 
+void listener::abort()
+{
+    stop();
+    const std::lock_guard lock{shared->guard};
+    shared->aborted = true;
+    for (const int each : shared->open) {
+        ::shutdown(each, SHUT_RDWR);
+    }
+}
+
 listener::~listener()
 {
     stop();
--- a/review/standins-3/http.hpp
+++ b/review/standins-3/http.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 /// @file
 /// @brief Blocking HTTP/1.1 over loopback sockets, for the stand-ins of the cases.
@@ -49,7 +50,11 @@
 class connection
 {
 public:
-    explicit connection(int socket) : descriptor(socket) {}
+    /// @param on_close Called with the descriptor before it is closed.
+    explicit connection(int socket, std::function<void(int)> on_close = nullptr)
+        : descriptor(socket), closes(std::move(on_close))
+    {
+    }
     ~connection();
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
@@ -72,6 +77,7 @@
 
 private:
     int descriptor;
+    std::function<void(int)> closes;
 };
 
 /// @brief Connects; null when refused or too late.
@@ -86,7 +92,8 @@
     ~listener();
     listener(const listener&) = delete;
     listener& operator=(const listener&) = delete;
-    void stop(); ///< No more connections are accepted; new ones are refused.
+    void stop();  ///< No more connections are accepted; new ones are refused.
+    void abort(); ///< As when the process ends: open connections end too.
 
 private:
     struct state;
