Streams without a record go on at the version that was alone when a second one came

Cause: while a service has one version, only the instance of a stream knows that it began there. It handed this to the store once it had learned of the second version itself, which an instance that is gone does not. The set of two versions in the store then made "no record" mean nothing.

Change: the call that registers the second version also writes the baseline, the version that was alone until then, under a lease of 18 s that nobody renews. A lookup that finds no record reads it next and concludes it. That is sound only if no other stream lacks a record, so that - the first event of a stream at another version is held until its record is stored, for as long as a baseline may exist (before: 400 ms at most); - an instance that cannot write begins streams at the baseline version alone, and a version that is not registered is used only where no registered one has endpoints that take requests; - a baseline names the store's era, is not written for a minute after a new era was seen, and its lease ends not later than those of the records, so that what loses a record ends the baseline too. Streams that the baseline covers are no longer written when the second version comes.

--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -2,6 +2,7 @@
 
 #include "hibiscusfall/catalog/endpoint_list.hpp"
 #include "hibiscusfall/dispatch/prefix_cache.hpp"
+#include "hibiscusfall/dispatch/stream_baseline.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 
 #include <cstddef>
@@ -60,7 +61,17 @@
     /// Versions that the store names: any stream of the service began at one of these. Empty until read.
     std::vector<std::string> registered;
     std::vector<std::string> listed; ///< Versions of the endpoints in the list, including draining ones.
+    std::vector<std::string> ready;  ///< Versions of the endpoints in the list that are not draining.
     bool use_unregistered = false;   ///< Whether the store cannot be reached to register versions.
+    stream_baseline baseline{};
+};
+
+/// @brief Whether the store has to know where a stream began before its first event is passed on.
+enum class record_need : std::uint8_t {
+    none,    ///< It is known without a record.
+    later,   ///< It is known without a record for now; the first event does not wait.
+    wanted,  ///< Without a record the stream cannot be taken up elsewhere.
+    required ///< Without a record another instance could continue the stream at another version.
 };
 
 /// @brief Software versions at which streams began, as this instance knows them.
@@ -72,6 +83,7 @@
     std::deque<std::pair<core::instant, stream_tag>> expiries; ///< In the order of recording.
     std::deque<stream_tag> unstored; ///< Not yet in the store; some may have expired.
     std::map<core::service_id, service_versions> services;
+    bool records_failing = false; ///< Whether the last attempt to write records to the store failed.
 };
 
 /// @brief Applies a new endpoint list.
@@ -83,11 +95,35 @@
                        const core::service_id& service,
                        std::vector<std::string> versions);
 
+/// @brief Records what the store states of streams without a record, while it names several versions.
+/// @param version The baseline version; nothing if the store names none.
+/// @remarks To be called before the versions are recorded: the baseline covers streams of this instance if it
+/// knew no other version until now.
+void record_baseline(stream_origins& origins,
+                     const core::service_id& service,
+                     const std::optional<std::string>& version,
+                     core::instant now,
+                     const baseline_times& times = {});
+
+/// @brief Whether the store is to be asked for the baseline.
+[[nodiscard]] bool is_baseline_check_due(const service_versions& versions, core::instant now);
+
+/// @brief Whether the store has to know where the stream began.
+[[nodiscard]] record_need need_of_record(const stream_origins& origins, const stream_origin& origin);
+
+/// @brief Whether the store named several versions of the service when it was last read.
+[[nodiscard]] bool has_several_registered(const stream_origins& origins, const core::service_id& service);
+
+/// @brief Whether the store is known to name no baseline, nor to name one later.
+[[nodiscard]] bool is_baseline_absent(const stream_origins& origins, const core::service_id& service);
+
 /// @brief Whether streams of the service may have begun at different versions.
 [[nodiscard]] bool is_mixed(const stream_origins& origins, const core::service_id& service);
 
-/// @brief Whether streams that may be taken up can begin at the version: the store names it, or cannot be
-/// reached.
+/// @brief Whether streams that may be taken up can begin at the version.
+/// @remarks The store has to name it. If the store cannot be reached, a version that it does not name is used
+/// only where no other one has endpoints, and while records cannot be written, streams begin at the baseline
+/// version, which needs none.
 [[nodiscard]] bool
 may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version);
 
@@ -103,8 +139,8 @@
 [[nodiscard]] const stream_origin*
 find_origin(const stream_origins& origins, stream_tag stream, core::instant now);
 
-/// @brief Takes the next origins to be stored: those of services whose versions are mixed, and those stored
-/// for others. The rest stays.
+/// @brief Takes the next origins to be stored: those that need a record, and those stored for others. The
+/// rest stays.
 [[nodiscard]] std::vector<stream_origin>
 take_unstored(stream_origins& origins, std::size_t most, core::instant now);
 
@@ -124,7 +160,14 @@
 /// has more moves and becomes the known one.
 bool reconcile(stream_origins& origins, stream_tag stream, const std::optional<stored_origin>& found);
 
-/// @brief Marks all known origins as not stored, after the store has lost what was written.
+/// @brief Whether a version has endpoints and gets no streams, as records cannot be written.
+[[nodiscard]] bool is_version_withheld(const stream_origins& origins);
+
+/// @brief Marks all known origins as not stored, after the store has lost what was written. No baseline
+/// covers them any more.
 void forget_stored(stream_origins& origins);
 
+/// @brief Marks all baselines as unread, after the store was restored from a copy.
+void forget_baselines(stream_origins& origins);
+
 } // namespace hibiscusfall::dispatch
--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -48,6 +48,7 @@
 #include "hibiscusfall/dispatch/request_digest.hpp"
 #include "hibiscusfall/dispatch/request_traits.hpp"
 #include "hibiscusfall/dispatch/second_sends.hpp"
+#include "hibiscusfall/dispatch/stream_baseline.hpp"
 #include "hibiscusfall/dispatch/stream_origins.hpp"
 #include "hibiscusfall/dispatch/team_shares.hpp"
 #include "hibiscusfall/encoding/base64.hpp"
--- a/src/dispatch/origin_handover.cpp
+++ b/src/dispatch/origin_handover.cpp
@@ -10,7 +10,8 @@
 
 bool is_waiting(const stream_origins& origins, const stream_origin& origin, core::instant now)
 {
-    return !origin.stored && !origin.relayed && origin.expires > now && is_mixed(origins, origin.service);
+    return !origin.stored && !origin.relayed && origin.expires > now &&
+           need_of_record(origins, origin) != record_need::none;
 }
 
 } // namespace
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -16,6 +16,39 @@
     return std::find(versions.begin(), versions.end(), version) != versions.end();
 }
 
+void add_version(std::vector<std::string>& versions, const std::string& version)
+{
+    if (!contains(versions, version)) {
+        versions.push_back(version);
+    }
+}
+
+/// Whether another instance could continue a stream at this version that has no record at another one.
+bool may_be_continued_elsewhere(const service_versions& versions, std::string_view version)
+{
+    const auto& baseline = versions.baseline;
+    switch (baseline.state) {
+    case baseline_state::named:
+        return version != baseline.version && contains(versions.ready, baseline.version);
+    case baseline_state::absent:
+        return false;
+    case baseline_state::unread:
+        break;
+    }
+    // The baseline is one of the versions that the store names, or not even these are known.
+    return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& other) {
+        return other != version && (versions.registered.empty() || contains(versions.registered, other));
+    });
+}
+
+/// Whether the version gets no streams, as records cannot be written and the baseline version needs none.
+bool is_withheld(const stream_origins& origins, const service_versions& versions, std::string_view version)
+{
+    const auto& baseline = versions.baseline;
+    return origins.records_failing && baseline.state == baseline_state::named &&
+           version != baseline.version && contains(versions.ready, baseline.version);
+}
+
 /// Finds the origin in constant or other origins.
 template <class origins_type>
 auto* find_known(origins_type& origins, stream_tag stream, core::instant now)
@@ -69,12 +102,14 @@
 {
     for (auto& [service, versions] : origins.services) {
         versions.listed.clear();
+        versions.ready.clear();
     }
     for (const auto& [key, entry] : list.entries) {
-        auto& listed = origins.services[entry.service].listed;
-        auto version = software_version(entry);
-        if (!contains(listed, version)) {
-            listed.push_back(std::move(version));
+        auto& versions = origins.services[entry.service];
+        const auto version = software_version(entry);
+        add_version(versions.listed, version);
+        if (!entry.draining) {
+            add_version(versions.ready, version);
         }
     }
     std::erase_if(origins.services, [](const auto& each) {
@@ -99,10 +134,77 @@
                        std::vector<std::string> versions)
 {
     auto& known = origins.services[service];
+    if (versions.size() <= 1) {
+        known.baseline = {};
+    }
     known.registered = std::move(versions);
     known.use_unregistered = false;
 }
 
+void record_baseline(stream_origins& origins,
+                     const core::service_id& service,
+                     const std::optional<std::string>& version,
+                     core::instant now,
+                     const baseline_times& times)
+{
+    auto& known = origins.services[service];
+    auto& baseline = known.baseline;
+    if (!version) {
+        baseline = {.state = baseline_state::absent};
+    } else if (baseline.state == baseline_state::named) {
+        baseline.next_check = now + times.check_interval;
+    } else {
+        // An instance that knew another version before may learn of the registration long after it.
+        const bool was_alone = known.registered == std::vector{*version};
+        baseline = {.state = baseline_state::named,
+                    .version = *version,
+                    .covers_until =
+                        was_alone ? now + times.lifetime - times.max_learning_time : core::instant{},
+                    .next_check = now + times.lifetime};
+    }
+}
+
+bool is_baseline_check_due(const service_versions& versions, core::instant now)
+{
+    return versions.baseline.state == baseline_state::unread ||
+           (versions.baseline.state == baseline_state::named && versions.baseline.next_check <= now);
+}
+
+record_need need_of_record(const stream_origins& origins, const stream_origin& origin)
+{
+    const auto found = origins.services.find(origin.service);
+    if (found == origins.services.end() || !is_mixed(origins, origin.service)) {
+        return record_need::none;
+    }
+    if (origin.superseded) {
+        return record_need::required;
+    }
+    const auto& versions = found->second;
+    if (versions.registered.size() == 1 && origin.version == versions.registered.front()) {
+        return record_need::none; // the other version has no streams before it is registered
+    }
+    if (may_be_continued_elsewhere(versions, origin.version)) {
+        return record_need::required;
+    }
+    const auto& baseline = versions.baseline;
+    if (baseline.state == baseline_state::named && origin.version == baseline.version) {
+        return origin.expires <= baseline.covers_until ? record_need::none : record_need::later;
+    }
+    return record_need::wanted;
+}
+
+bool has_several_registered(const stream_origins& origins, const core::service_id& service)
+{
+    const auto found = origins.services.find(service);
+    return found != origins.services.end() && found->second.registered.size() > 1;
+}
+
+bool is_baseline_absent(const stream_origins& origins, const core::service_id& service)
+{
+    const auto found = origins.services.find(service);
+    return found != origins.services.end() && found->second.baseline.state == baseline_state::absent;
+}
+
 bool is_mixed(const stream_origins& origins, const core::service_id& service)
 {
     const auto found = origins.services.find(service);
@@ -120,8 +222,28 @@
 bool may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version)
 {
     const auto found = origins.services.find(service);
-    return found != origins.services.end() &&
-           (found->second.use_unregistered || contains(found->second.registered, version));
+    if (found == origins.services.end()) {
+        return false;
+    }
+    const auto& versions = found->second;
+    if (!contains(versions.registered, version)) {
+        // Others take a stream without a record for one of the version that the store names.
+        return versions.use_unregistered &&
+               std::none_of(versions.ready.begin(), versions.ready.end(), [&](const auto& each) {
+                   return contains(versions.registered, each);
+               });
+    }
+    return !is_withheld(origins, versions, version);
+}
+
+bool is_version_withheld(const stream_origins& origins)
+{
+    return std::any_of(origins.services.begin(), origins.services.end(), [&](const auto& each) {
+        const auto& versions = each.second;
+        return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& version) {
+            return is_withheld(origins, versions, version);
+        });
+    });
 }
 
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now)
@@ -193,7 +315,7 @@
         if (origin->stored || taken) {
             continue;
         }
-        if (origin->relayed || is_mixed(origins, origin->service)) {
+        if (origin->relayed || need_of_record(origins, *origin) != record_need::none) {
             origin->offered = true;
             batch.push_back(*origin);
         } else {
@@ -262,6 +384,16 @@
         origin.stored = false;
         origin.revision = 0;
     }
+    for (auto& [service, versions] : origins.services) {
+        versions.baseline.covers_until = core::instant{};
+    }
+}
+
+void forget_baselines(stream_origins& origins)
+{
+    for (auto& [service, versions] : origins.services) {
+        versions.baseline = {};
+    }
 }
 
 } // namespace hibiscusfall::dispatch
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -123,18 +123,21 @@
 }
 
 /// Waits until the store knows where the stream begins, as another instance may need it to continue it.
-/// @remarks If the store may have the version of an earlier attempt, the stream waits for as long as its
-/// caller does: another instance would continue it at that version.
+/// @remarks If another instance would continue it at another version otherwise, the stream waits for as long
+/// as its caller does.
 asio::awaitable<void> hold_until_stored(request_state& state)
 {
     auto& server = state.server;
     const auto limit = event_loop::now() + max_origin_hold;
-    while (server.find_origin && state.route->resumable && !is_take_up(state) &&
-           dispatch::is_mixed(server.origins, state.service)) {
+    while (server.find_origin && state.route->resumable && !is_take_up(state)) {
         const auto now = event_loop::now();
         const auto* origin = dispatch::find_origin(server.origins, stream_of(state), now);
-        if (origin == nullptr || origin->stored || state.caller.is_disconnected() ||
-            now >= (origin->superseded ? state.deadline : limit)) {
+        if (origin == nullptr || origin->stored || state.caller.is_disconnected()) {
+            co_return;
+        }
+        const auto need = dispatch::need_of_record(server.origins, *origin);
+        if (need == dispatch::record_need::none || need == dispatch::record_need::later ||
+            now >= (need == dispatch::record_need::required ? state.deadline : limit)) {
             co_return;
         }
         co_await server.loop.sleep(core::duration{origin_hold_step});
--- a/tests/adapter/origin_store_test.cpp
+++ b/tests/adapter/origin_store_test.cpp
@@ -98,6 +98,9 @@
     BOOST_REQUIRE(one.serve({"v1"}));
     BOOST_TEST(one.found("r1") == "v1");
     BOOST_REQUIRE(other.serve({"v1", "v2"}));
+    // No caller has the first event of a stream at the second version before the stream is written.
+    BOOST_TEST(one.found("from before") == "v1");
+    store.expire_leases();
     BOOST_TEST(one.found("not written yet") == "(unknown)");
     other.begin("r2", "v2");
     BOOST_REQUIRE(eventually([&] { return stored_streams(store) == 1; }));
@@ -141,6 +144,7 @@
                             platform_store::fault::disconnect}) {
         instance mixed{store};
         BOOST_REQUIRE(mixed.serve({"v1", "v2"}));
+        store.expire_leases(); // no baseline shows where streams without a record began
         instance empty{store};
         store.set_fault(kind);
         for (auto* each : {&single, &mixed, &empty}) {
--- a/tests/adapter/take_up_process_test.cpp
+++ b/tests/adapter/take_up_process_test.cpp
@@ -314,6 +314,87 @@
     }
 }
 
+// Its streams were refused at every other instance: only it knew where they had begun.
+BOOST_AUTO_TEST_CASE(streams_of_an_instance_that_is_gone_as_a_version_joins_go_on_elsewhere)
+{
+    for (const int how : {SIGSTOP, SIGKILL}) {
+        mixed_fleet fleet{{"v1"}};
+        BOOST_REQUIRE(fleet.ready());
+        const auto begun = fleet.begin_streams();
+        auto& gone = fleet.entry(0);
+        auto& other = fleet.entry(1);
+        gone.child().signal(how);
+        fleet.add("v2");
+        std::vector<std::unique_ptr<caller>> begun_later;
+        BOOST_REQUIRE(eventually(
+            [&] {
+                const auto id = "later" + std::to_string(begun_later.size());
+                begun_later.push_back(std::make_unique<caller>(other, id));
+                return begun_later.back()->version() == "v2";
+            },
+            limit));
+        std::size_t taken_up = 0;
+        for (const auto& [id, version] : begun) {
+            const auto number = std::stoul(id.substr(std::string{"begun"}.size()));
+            if (number % 2 != 0) {
+                continue; // began at the other one
+            }
+            ++taken_up;
+            caller again{other, "again" + id, take_up_of(id)};
+            BOOST_TEST(again.status() == "200", id);
+            BOOST_TEST(again.version() == "v1", id);
+            BOOST_TEST(again.read_until("[DONE]"), id);
+        }
+        BOOST_TEST(taken_up >= 2U);
+        BOOST_TEST(fleet.endpoints.at("v2")->taken_up() == 0U);
+        gone.child().signal(SIGCONT);
+    }
+}
+
+// A caller that has the first event of a stream whose record was never written would get the rest from
+// another version.
+BOOST_AUTO_TEST_CASE(no_stream_that_begins_while_records_are_lost_goes_on_at_another_version)
+{
+    constexpr int streams = 24;
+    mixed_fleet fleet{{"v1"}};
+    BOOST_REQUIRE(fleet.ready());
+    (void)fleet.begin_streams();
+    auto& gone = fleet.entry(0);
+    auto& other = fleet.entry(1);
+    fleet.add("v2");
+    for (auto* each : {&gone, &other}) {
+        int tries = 0;
+        BOOST_REQUIRE(eventually(
+            [&] {
+                const auto id = "first" + std::to_string(reinterpret_cast<std::uintptr_t>(each)) + "-" +
+                                std::to_string(tries++);
+                return caller{*each, id}.version() == "v2";
+            },
+            limit));
+    }
+    fleet.store.set_changes_lost(true);
+    std::vector<std::pair<std::string, std::unique_ptr<caller>>> begun;
+    for (int i = 0; i < streams; ++i) {
+        const auto id = "begun" + std::to_string(i);
+        begun.emplace_back(id, std::make_unique<caller>(gone, id));
+        std::this_thread::sleep_for(50ms);
+    }
+    std::this_thread::sleep_for(1s); // longer than a first event waits where it may go without a record
+    gone.child().signal(SIGKILL);
+    fleet.store.set_changes_lost(false);
+    std::size_t at_first_version = 0;
+    for (auto& [id, stream] : begun) {
+        const auto version = stream->version();
+        caller again{other, "again" + id, take_up_of(id)};
+        if (again.status() == "200" && !version.empty()) {
+            BOOST_TEST(again.version() == version, id);
+        }
+        BOOST_TEST((version != "v1" || again.status() == "200"), id);
+        at_first_version += version == "v1" ? 1U : 0U;
+    }
+    BOOST_TEST(at_first_version >= 2U);
+}
+
 BOOST_AUTO_TEST_CASE(with_a_single_version_a_stream_is_taken_up_after_all_instances_were_killed)
 {
     mixed_fleet fleet{{"v1"}};
