--- a/tests/adapter/platform_store.cpp
+++ b/tests/adapter/platform_store.cpp
@@ -100,6 +100,12 @@
     return found;
 }
 
+void platform_store::end_connections(connection_end how)
+{
+    this->end_of_connections = how;
+    ++this->connection_generation;
+}
+
 void platform_store::expire_leases()
 {
     const std::lock_guard lock(this->mutex);
@@ -257,6 +263,10 @@
 
 void platform_store::serve(asio::ip::tcp::socket socket)
 {
+    const int generation = this->connection_generation;
+    const auto ends = [&](connection_end how) {
+        return generation != this->connection_generation && this->end_of_connections == how;
+    };
     boost::beast::flat_buffer buffer;
     while (!this->stopping) {
         socket.non_blocking(false);
@@ -266,11 +276,15 @@
         while (socket.available(error) == 0 && !error && !this->stopping && buffer.size() == 0) {
             std::this_thread::sleep_for(1ms);
             char byte = 0;
-            if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0) {
+            if (::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0 ||
+                ends(connection_end::closed)) {
                 return;
             }
         }
-        if (this->stopping) {
+        if (ends(connection_end::silent)) {
+            this->drop_all(socket);
+        }
+        if (this->stopping || ends(connection_end::at_a_request)) {
             return;
         }
         http::read(socket, buffer, request, error);
--- a/tests/adapter/platform_store.hpp
+++ b/tests/adapter/platform_store.hpp
@@ -50,6 +50,13 @@
         repeated_page ///< Returns the first page of a range for each call.
     };
 
+    /// How connections end that callers keep.
+    enum class connection_end {
+        closed,       ///< At once.
+        at_a_request, ///< As the next request arrives, without a response.
+        silent        ///< They stay open and get no response.
+    };
+
     platform_store();
     ~platform_store();
     platform_store(const platform_store&) = delete;
@@ -123,6 +130,9 @@
     void set_page_size(std::size_t items) { this->page_size = items; }
     void set_fault(fault kind) { this->active_fault = kind; }
 
+    /// @brief Ends all present connections; new ones are served.
+    void end_connections(connection_end how);
+
     /// @brief Number of requests received, including those that a fault left without a response.
     [[nodiscard]] std::size_t request_count() const { return this->requests; }
 
@@ -179,6 +189,8 @@
     std::optional<std::string> era_header; ///< Sent when @c custom_era_header is set.
     std::size_t page_size = 500;
     std::atomic<fault> active_fault{fault::none};
+    std::atomic<connection_end> end_of_connections{connection_end::closed};
+    std::atomic<int> connection_generation{0}; ///< Connections of an earlier one have ended.
     std::atomic<std::size_t> requests{0};
     std::atomic<std::size_t> granted_leases{0};
     std::atomic<bool> leases_paused{false};
