--- a/tests/adapter/stream_baseline_test.cpp
+++ b/tests/adapter/stream_baseline_test.cpp
@@ -257,6 +257,25 @@
     BOOST_TEST(eventually([&] { return one.may_begin("v2"); }));
 }
 
+// For a moment after the outage another instance reads the set without the new version, and concludes the one
+// in it.
+BOOST_AUTO_TEST_CASE(a_version_that_was_begun_while_the_store_was_away_is_not_missed_after_its_return)
+{
+    platform_store store;
+    instance one{store};
+    instance other{store};
+    BOOST_REQUIRE(one.serve({"v1"}));
+    BOOST_REQUIRE(other.serve({"v1"}));
+    store.set_fault(platform_store::fault::unavailable);
+    one.list({"v1", "v2"});
+    BOOST_REQUIRE(eventually([&] { return one.uses_unregistered(); }));
+    BOOST_TEST(one.may_begin("v1"));
+    BOOST_TEST(!one.may_begin("v2")); // so that what the other one concludes is true of each stream
+    store.set_fault(platform_store::fault::none);
+    BOOST_TEST(other.found("r1") == "v1");
+    BOOST_TEST(eventually([&] { return one.may_begin("v2"); }));
+}
+
 BOOST_AUTO_TEST_CASE(a_baseline_that_cannot_be_read_is_no_answer)
 {
     platform_store store;
