The baseline is read again when a version may have left and returned meanwhile

Cause, found by reading the change: an instance that has seen that there is no baseline passes first events on after 400 ms. If another one has removed a version from the set, and a second version joins or that one returns before this instance reads the set, a new baseline is in force that it does not know; beside a failing store it would pass on events that others join to another version. An instance that is up for less than a minute removes no versions itself, so that it can be the one. Change: a set that lacks a version known to be registered, and a version that is listed again, have the baseline read before anything is concluded from its absence. A named baseline is only checked sooner. A lookup that finds a set of one concludes nothing at an instance that still uses unregistered versions; that was looked at after the flag had been cleared.

Test: stream_baseline_test/the_baseline_is_read_again_if_a_version_may_have_left_and_returned_meanwhile, which does not compile before (doubt_baseline is new).

--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -87,7 +87,8 @@
 };
 
 /// @brief Applies a new endpoint list.
-/// @returns Services with a listed version that is not registered.
+/// @returns Services whose versions are to be registered or read again: those with a listed version that is
+/// not registered, and those of several versions one of which is listed again.
 std::vector<core::service_id> update_versions(stream_origins& origins, const catalog::endpoint_list& list);
 
 /// @brief Records the versions that the store names for a service.
@@ -105,6 +106,13 @@
                      core::instant now,
                      const baseline_times& times = {});
 
+/// @brief Has the baseline read again if the store has removed a version that was registered: it may have
+/// named one version since, and another baseline.
+/// @param stored The versions that the store names now.
+void doubt_baseline(stream_origins& origins,
+                    const core::service_id& service,
+                    std::span<const std::string> stored);
+
 /// @brief Whether the store is to be asked for the baseline.
 [[nodiscard]] bool is_baseline_check_due(const service_versions& versions, core::instant now);
 
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -23,6 +23,22 @@
     }
 }
 
+bool has_all(std::span<const std::string> versions, std::span<const std::string> wanted)
+{
+    return std::all_of(
+        wanted.begin(), wanted.end(), [&](const auto& version) { return contains(versions, version); });
+}
+
+/// Has the baseline read again. One that is named holds until then.
+void doubt_baseline(stream_baseline& baseline)
+{
+    if (baseline.state == baseline_state::named) {
+        baseline.next_check = core::instant{};
+    } else {
+        baseline = {};
+    }
+}
+
 /// Whether another instance could continue a stream at this version that has no record at another one.
 bool may_be_continued_elsewhere(const service_versions& versions, std::string_view version)
 {
@@ -100,8 +116,9 @@
 
 std::vector<core::service_id> update_versions(stream_origins& origins, const catalog::endpoint_list& list)
 {
+    std::map<core::service_id, std::vector<std::string>> listed_before;
     for (auto& [service, versions] : origins.services) {
-        versions.listed.clear();
+        listed_before[service] = std::exchange(versions.listed, {});
         versions.ready.clear();
     }
     for (const auto& [key, entry] : list.entries) {
@@ -115,18 +132,30 @@
     std::erase_if(origins.services, [](const auto& each) {
         return each.second.listed.empty() && each.second.registered.empty();
     });
-    std::vector<core::service_id> unregistered;
-    for (const auto& each : origins.services) {
-        const auto& versions = each.second;
-        const bool all =
-            std::all_of(versions.listed.begin(), versions.listed.end(), [&](const auto& version) {
-                return contains(versions.registered, version);
-            });
-        if (!all) {
-            unregistered.push_back(each.first);
+    std::vector<core::service_id> unconfirmed;
+    for (auto& [service, versions] : origins.services) {
+        const bool all_registered = has_all(versions.registered, versions.listed);
+        // One that returns may have been removed from the store meanwhile, and come with another baseline.
+        const bool returned =
+            versions.registered.size() > 1 && !has_all(listed_before[service], versions.listed);
+        if (returned) {
+            doubt_baseline(versions.baseline);
         }
+        if (!all_registered || returned) {
+            unconfirmed.push_back(service);
+        }
+    }
+    return unconfirmed;
+}
+
+void doubt_baseline(stream_origins& origins,
+                    const core::service_id& service,
+                    std::span<const std::string> stored)
+{
+    const auto found = origins.services.find(service);
+    if (found != origins.services.end() && !has_all(stored, found->second.registered)) {
+        doubt_baseline(found->second.baseline);
     }
-    return unregistered;
 }
 
 void record_registered(stream_origins& origins,
@@ -151,7 +180,7 @@
     auto& baseline = known.baseline;
     if (!version) {
         baseline = {.state = baseline_state::absent};
-    } else if (baseline.state == baseline_state::named) {
+    } else if (baseline.state == baseline_state::named && baseline.version == *version) {
         baseline.next_check = now + times.check_interval;
     } else {
         // An instance that knew another version before may learn of the registration long after it.
--- a/tests/dispatch/stream_baseline_test.cpp
+++ b/tests/dispatch/stream_baseline_test.cpp
@@ -165,6 +165,37 @@
     BOOST_TEST((origins.services.at(service).baseline.state == baseline_state::unread));
 }
 
+// An instance that did not see the store with one version in between would go on without a hold, while others
+// conclude the new baseline.
+BOOST_AUTO_TEST_CASE(the_baseline_is_read_again_if_a_version_may_have_left_and_returned_meanwhile)
+{
+    auto origins = after_join();
+    const auto& versions = origins.services.at(service);
+    dispatch::record_baseline(origins, service, std::nullopt, start + 18s);
+    BOOST_TEST(dispatch::update_versions(origins, list({"v2"})).empty());
+    BOOST_TEST(dispatch::is_baseline_absent(origins, service));
+    const auto to_read = dispatch::update_versions(origins, list({"v1", "v2"}));
+    BOOST_TEST((to_read == std::vector<core::service_id>{service}));
+    BOOST_TEST(dispatch::is_baseline_check_due(versions, start + 18s));
+    BOOST_TEST((dispatch::need_of_record(origins, origin("v1")) == record_need::required));
+    dispatch::record_baseline(origins, service, "v2", start + 18s);
+    BOOST_TEST((dispatch::need_of_record(origins, origin("v1", start + 20s)) == record_need::required));
+    BOOST_TEST((dispatch::need_of_record(origins, origin("v2", start + 20s)) == record_need::later));
+    // Known again from the set: of the versions before, one is gone.
+    dispatch::record_baseline(origins, service, std::nullopt, start + 40s);
+    dispatch::doubt_baseline(origins, service, std::vector<std::string>{"v1", "v2", "v3"});
+    BOOST_TEST(dispatch::is_baseline_absent(origins, service));
+    dispatch::doubt_baseline(origins, service, std::vector<std::string>{"v2", "v3"});
+    BOOST_TEST(dispatch::is_baseline_check_due(versions, start + 40s));
+    // A named one is only checked sooner: its streams are not held back for that.
+    auto joined = after_join();
+    dispatch::doubt_baseline(joined, service, std::vector<std::string>{"v2"});
+    BOOST_TEST(dispatch::is_baseline_check_due(joined.services.at(service), start));
+    BOOST_TEST((dispatch::need_of_record(joined, origin("v1")) == record_need::none));
+    dispatch::record_baseline(joined, service, "v2", start + 1s);
+    BOOST_TEST((dispatch::need_of_record(joined, origin("v1")) == record_need::required));
+}
+
 BOOST_AUTO_TEST_CASE(while_records_cannot_be_written_streams_begin_at_the_baseline_version)
 {
     auto origins = after_join();
