While records cannot be written, other versions are a second choice and not excluded

Cause: an instance that cannot write records began no stream at another version than the baseline's, whatever the state of that version's endpoints. Change: placement considers such versions if no other endpoint can be used, before it considers suspended ones. Their first events are still held until the record is stored. Ruled out: passing first events on without a record then. Another instance may reach endpoints of the baseline version that this one cannot, and would join the streams.

--- a/include/hibiscusfall/dispatch/fleet_state.hpp
+++ b/include/hibiscusfall/dispatch/fleet_state.hpp
@@ -43,6 +43,8 @@
     std::string software_version{};    ///< What dispatch::software_version returns for the entry.
     cold_properties cold{};            ///< Of its service.
     bool begins_streams = true; ///< Whether streams that may be taken up may begin here, see stream_origins.
+    /// Whether such streams begin here only if no other endpoint can be used, see is_second_choice.
+    bool second_choice = false;
 };
 
 /// @brief Totals of one peer at one endpoint.
--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -130,11 +130,18 @@
 
 /// @brief Whether streams that may be taken up can begin at the version.
 /// @remarks The store has to name it. If the store cannot be reached, a version that it does not name is used
-/// only where no other one has endpoints, and while records cannot be written, streams begin at the baseline
-/// version, which needs none.
+/// only where no other one has endpoints.
 [[nodiscard]] bool
 may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version);
 
+/// @brief Whether streams begin at the version only if the baseline version has no usable endpoint: records
+/// cannot be written, and the baseline version needs none.
+[[nodiscard]] bool
+is_second_choice(const stream_origins& origins, const core::service_id& service, std::string_view version);
+
+/// @brief Whether any version with endpoints is a second choice.
+[[nodiscard]] bool has_second_choice(const stream_origins& origins);
+
 /// @brief Records where a stream begins. The last record of a stream holds, as a request may move before its
 /// first event; it is removed once it expires, or earlier if there are too many.
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now);
@@ -168,9 +175,6 @@
 /// has more moves and becomes the known one.
 bool reconcile(stream_origins& origins, stream_tag stream, const std::optional<stored_origin>& found);
 
-/// @brief Whether a version has endpoints and gets no streams, as records cannot be written.
-[[nodiscard]] bool is_version_withheld(const stream_origins& origins);
-
 /// @brief Marks all known origins as not stored, after the store has lost what was written. No baseline
 /// covers them any more.
 void forget_stored(stream_origins& origins);
--- a/src/dispatch/placement.cpp
+++ b/src/dispatch/placement.cpp
@@ -120,11 +120,18 @@
            std::find(homes.begin(), homes.end(), region->second) != homes.end();
 }
 
+/// Endpoints that are considered besides the preferred ones.
+enum class fallback : std::uint8_t {
+    none,
+    second_choice, ///< Those of versions that are a second choice.
+    unhealthy      ///< Also those that are suspended or unreachable.
+};
+
 /// Why an endpoint of the request's service is not eligible.
 exclusion find_exclusion(const fleet_state& fleet,
                          const endpoint_state& state,
                          const placement_request& request,
-                         bool ignore_health,
+                         fallback considered,
                          core::instant now)
 {
     if (!is_suitable(state, request)) {
@@ -145,6 +152,10 @@
     if (state.max_connections > 0 && state.model.own_requests >= state.max_connections) {
         return exclusion::connection_limit;
     }
+    if (considered == fallback::none && request.begins_stream && state.second_choice) {
+        return exclusion::wrong_version;
+    }
+    const bool ignore_health = considered == fallback::unhealthy;
     if (!ignore_health && is_suspended(state.health, now)) {
         return exclusion::suspended;
     }
@@ -256,7 +267,7 @@
 
 std::vector<const endpoint_state*> eligible_endpoints(const fleet_state& fleet,
                                                       const placement_request& request,
-                                                      bool ignore_health,
+                                                      fallback considered,
                                                       core::instant now,
                                                       placement_trace* trace)
 {
@@ -266,7 +277,7 @@
         if (state.entry.service != request.service) {
             continue;
         }
-        const auto reason = find_exclusion(fleet, state, request, ignore_health, now);
+        const auto reason = find_exclusion(fleet, state, request, considered, now);
         if (reason == exclusion::none) {
             result.push_back(&state);
         }
@@ -333,19 +344,19 @@
 choice choose(const fleet_state& fleet,
               const placement_request& request,
               policy how,
-              bool ignore_health,
+              fallback considered,
               core::instant now,
               placement_trace* trace)
 {
     choice result;
     if (trace != nullptr) {
-        *trace = {.endpoints = {}, .ignored_health = ignore_health};
+        *trace = {.endpoints = {}, .ignored_health = considered == fallback::unhealthy};
     }
     const auto segments = request.generation == nullptr
                               ? std::vector<resolved_segment>{}
                               : resolve_segments(fleet.cached_prefixes, request.generation->segments);
     const auto stream_time = mean_stream_time(fleet, request.service);
-    auto scored_endpoints = eligible_endpoints(fleet, request, ignore_health, now, trace);
+    auto scored_endpoints = eligible_endpoints(fleet, request, considered, now, trace);
     if (request.generation != nullptr && how != policy::least_in_flight &&
         scored_endpoints.size() > max_scored_engines) {
         scored_endpoints = draw_sample(scored_endpoints, segments, request.hash);
@@ -486,10 +497,13 @@
         refuse_beyond_share(refused, fleet.shares, request.hash);
         return refused;
     }
-    auto found = choose(fleet, request, how, false, now, trace);
+    auto found = choose(fleet, request, how, fallback::none, now, trace);
+    if (found.best.state == nullptr && request.begins_stream) {
+        found = choose(fleet, request, how, fallback::second_choice, now, trace);
+    }
     if (found.best.state == nullptr) {
         // An endpoint that failed recently is better than a certain refusal.
-        found = choose(fleet, request, how, true, now, trace);
+        found = choose(fleet, request, how, fallback::unhealthy, now, trace);
     }
     placement_decision decision{.evaluated = found.evaluated};
     if (found.best.state == nullptr) {
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -57,8 +57,9 @@
     });
 }
 
-/// Whether the version gets no streams, as records cannot be written and the baseline version needs none.
-bool is_withheld(const stream_origins& origins, const service_versions& versions, std::string_view version)
+bool is_second_choice(const stream_origins& origins,
+                      const service_versions& versions,
+                      std::string_view version)
 {
     const auto& baseline = versions.baseline;
     return origins.records_failing && baseline.state == baseline_state::named &&
@@ -262,15 +263,23 @@
                    return contains(versions.registered, each);
                });
     }
-    return !is_withheld(origins, versions, version);
+    return true;
 }
 
-bool is_version_withheld(const stream_origins& origins)
+bool is_second_choice(const stream_origins& origins,
+                      const core::service_id& service,
+                      std::string_view version)
+{
+    const auto found = origins.services.find(service);
+    return found != origins.services.end() && is_second_choice(origins, found->second, version);
+}
+
+bool has_second_choice(const stream_origins& origins)
 {
     return std::any_of(origins.services.begin(), origins.services.end(), [&](const auto& each) {
         const auto& versions = each.second;
         return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& version) {
-            return is_withheld(origins, versions, version);
+            return is_second_choice(origins, versions, version);
         });
     });
 }
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -139,6 +139,9 @@
         state.begins_streams =
             !this->find_origin ||
             dispatch::may_begin(this->origins, state.entry.service, state.software_version);
+        state.second_choice =
+            this->find_origin &&
+            dispatch::is_second_choice(this->origins, state.entry.service, state.software_version);
     }
 }
 
--- a/tests/adapter/origin_instance.hpp
+++ b/tests/adapter/origin_instance.hpp
@@ -122,6 +122,11 @@
         return this->on_loop([&] { return dispatch::may_begin(this->origins, service, version); });
     }
 
+    bool is_second_choice(const std::string& version)
+    {
+        return this->on_loop([&] { return dispatch::is_second_choice(this->origins, service, version); });
+    }
+
     /// @brief Lists the versions and waits until streams may begin at all of them.
     bool serve(std::initializer_list<std::string> versions)
     {
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -180,6 +180,34 @@
     }
 }
 
+// While the store is away, the endpoints of the baseline version may have left without its saying so.
+BOOST_AUTO_TEST_CASE(a_second_choice_begins_streams_when_the_others_cannot_be_used)
+{
+    auto fleet = make_fleet({{"a", "north"}, {"b", "north"}}, false);
+    state_of(fleet, "b").second_choice = true;
+    const auto place = [&](const dispatch::placement_request& request) {
+        return dispatch::place(fleet, request, dispatch::policy::engine_model, start).endpoint;
+    };
+    auto stream = call(start);
+    stream.begins_stream = true;
+    auto other = call(start); // a call, or a stream that is taken up
+    std::vector<dispatch::endpoint_tag> used_by_others;
+    for (std::uint64_t hash = 0; hash < 20; ++hash) {
+        stream.hash = hash;
+        other.hash = hash;
+        BOOST_TEST(place(stream) == state_of(fleet, "a").tag);
+        used_by_others.push_back(place(other));
+    }
+    BOOST_TEST(std::count(used_by_others.begin(), used_by_others.end(), state_of(fleet, "b").tag) > 0);
+    state_of(fleet, "a").health.suspended_until = start + 1s;
+    BOOST_TEST(place(stream) == state_of(fleet, "b").tag);
+    // Nothing else is left.
+    state_of(fleet, "b").health.suspended_until = start + 1s;
+    const std::array tried{state_of(fleet, "a").tag};
+    stream.excluded = tried;
+    BOOST_TEST(place(stream) == state_of(fleet, "b").tag);
+}
+
 BOOST_AUTO_TEST_CASE(an_endpoint_that_rests_is_used_when_no_other_is_left)
 {
     auto fleet = make_fleet({{"a", "north"}, {"b", "north"}}, false);
