--- a/tests/adapter/take_up_process_test.cpp
+++ b/tests/adapter/take_up_process_test.cpp
@@ -188,6 +188,21 @@
     }
 }
 
+/// Takes a stream up, again while the instance refuses calls as the machine is too busy for it.
+std::unique_ptr<caller> take_up(const entry_process& entry, const std::string& id)
+{
+    std::unique_ptr<caller> again;
+    int tries = 0;
+    (void)eventually(
+        [&] {
+            again =
+                std::make_unique<caller>(entry, "again" + id + "-" + std::to_string(tries++), take_up_of(id));
+            return again->status() != "503" || !again->read_until("overloaded");
+        },
+        limit);
+    return again;
+}
+
 void check_unnamed_take_ups(mixed_fleet& fleet, const std::string& round)
 {
     const std::array<std::string, 4> unnamed{"Last-Event-Id: 1\r\n",
@@ -340,10 +355,10 @@
                 continue; // began at the other one
             }
             ++taken_up;
-            caller again{other, "again" + id, take_up_of(id)};
-            BOOST_TEST(again.status() == "200", id);
-            BOOST_TEST(again.version() == "v1", id);
-            BOOST_TEST(again.read_until("[DONE]"), id);
+            const auto again = take_up(other, id);
+            BOOST_TEST(again->status() == "200", id + ": " + again->text());
+            BOOST_TEST(again->version() == "v1", id);
+            BOOST_TEST(again->read_until("[DONE]"), id);
         }
         BOOST_TEST(taken_up >= 2U);
         BOOST_TEST(fleet.endpoints.at("v2")->taken_up() == 0U);
@@ -362,13 +377,13 @@
     auto& gone = fleet.entry(0);
     auto& other = fleet.entry(1);
     fleet.add("v2");
-    for (auto* each : {&gone, &other}) {
+    // Both know the new version.
+    for (const std::size_t number : {0U, 1U}) {
         int tries = 0;
         BOOST_REQUIRE(eventually(
             [&] {
-                const auto id = "first" + std::to_string(reinterpret_cast<std::uintptr_t>(each)) + "-" +
-                                std::to_string(tries++);
-                return caller{*each, id}.version() == "v2";
+                const auto id = "first" + std::to_string(number) + "-" + std::to_string(tries++);
+                return caller{fleet.entry(number), id}.version() == "v2";
             },
             limit));
     }
@@ -385,11 +400,11 @@
     std::size_t at_first_version = 0;
     for (auto& [id, stream] : begun) {
         const auto version = stream->version();
-        caller again{other, "again" + id, take_up_of(id)};
-        if (again.status() == "200" && !version.empty()) {
-            BOOST_TEST(again.version() == version, id);
+        const auto again = take_up(other, id);
+        if (again->status() == "200" && !version.empty()) {
+            BOOST_TEST(again->version() == version, id);
         }
-        BOOST_TEST((version != "v1" || again.status() == "200"), id);
+        BOOST_TEST((version != "v1" || again->status() == "200"), id + ": " + again->text());
         at_first_version += version == "v1" ? 1U : 0U;
     }
     BOOST_TEST(at_first_version >= 2U);
