--- a/include/hibiscusfall/dispatch/fleet_state.hpp
+++ b/include/hibiscusfall/dispatch/fleet_state.hpp
@@ -43,8 +43,8 @@
     std::string software_version{};    ///< What dispatch::software_version returns for the entry.
     cold_properties cold{};            ///< Of its service.
     bool begins_streams = true; ///< Whether streams that may be taken up may begin here, see stream_origins.
-    /// Whether such streams begin here only if no other endpoint can be used, see is_second_choice.
-    bool second_choice = false;
+    /// Whether such streams begin here only if no other endpoint can be used, see is_deprioritized.
+    bool deprioritized = false;
 };
 
 /// @brief Totals of one peer at one endpoint.
@@ -165,8 +165,10 @@
 /// @brief Why an endpoint is not used for a request.
 enum class exclusion : std::uint8_t {
     none,
-    wrong_version, ///< Its software version may not run the request.
-    not_listed,    ///< It is not registered, or is draining.
+    wrong_version,         ///< Its software version may not run the request.
+    deprioritized_version, ///< Its software version is used only if no other endpoint is, see
+                           ///< is_deprioritized.
+    not_listed,            ///< It is not registered, or is draining.
     evacuated,
     departing,
     backing_off,
--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -66,14 +66,6 @@
     stream_baseline baseline{};
 };
 
-/// @brief Whether the store has to know where a stream began before its first event is passed on.
-enum class record_need : std::uint8_t {
-    none,    ///< It is known without a record.
-    later,   ///< It is known without a record for now; the first event does not wait.
-    wanted,  ///< Without a record the stream cannot be taken up elsewhere.
-    required ///< Without a record another instance could continue the stream at another version.
-};
-
 /// @brief Software versions at which streams began, as this instance knows them.
 /// @remarks Holds the streams that began here or were taken up here, and those that this instance stores for
 /// others.
@@ -96,35 +88,9 @@
                        const core::service_id& service,
                        std::vector<std::string> versions);
 
-/// @brief Records what the store states of streams without a record, while it names several versions.
-/// @param version The baseline version; nothing if the store names none.
-/// @remarks To be called before the versions are recorded: the baseline covers streams of this instance if it
-/// knew no other version until now.
-void record_baseline(stream_origins& origins,
-                     const core::service_id& service,
-                     const std::optional<std::string>& version,
-                     core::instant now,
-                     const baseline_times& times = {});
-
-/// @brief Has the baseline read again if the store has removed a version that was registered: it may have
-/// named one version since, and another baseline.
-/// @param stored The versions that the store names now.
-void doubt_baseline(stream_origins& origins,
-                    const core::service_id& service,
-                    std::span<const std::string> stored);
-
-/// @brief Whether the store is to be asked for the baseline.
-[[nodiscard]] bool is_baseline_check_due(const service_versions& versions, core::instant now);
-
-/// @brief Whether the store has to know where the stream began.
-[[nodiscard]] record_need need_of_record(const stream_origins& origins, const stream_origin& origin);
-
 /// @brief Whether the store named several versions of the service when it was last read.
 [[nodiscard]] bool has_several_registered(const stream_origins& origins, const core::service_id& service);
 
-/// @brief Whether the store is known to name no baseline, nor to name one later.
-[[nodiscard]] bool is_baseline_absent(const stream_origins& origins, const core::service_id& service);
-
 /// @brief Whether streams of the service may have begun at different versions.
 [[nodiscard]] bool is_mixed(const stream_origins& origins, const core::service_id& service);
 
@@ -134,14 +100,6 @@
 [[nodiscard]] bool
 may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version);
 
-/// @brief Whether streams begin at the version only if the baseline version has no usable endpoint: records
-/// cannot be written, and the baseline version needs none.
-[[nodiscard]] bool
-is_second_choice(const stream_origins& origins, const core::service_id& service, std::string_view version);
-
-/// @brief Whether any version with endpoints is a second choice.
-[[nodiscard]] bool has_second_choice(const stream_origins& origins);
-
 /// @brief Records where a stream begins. The last record of a stream holds, as a request may move before its
 /// first event; it is removed once it expires, or earlier if there are too many.
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now);
@@ -179,7 +137,4 @@
 /// covers them any more.
 void forget_stored(stream_origins& origins);
 
-/// @brief Marks all baselines as unread, after the store was restored from a copy.
-void forget_baselines(stream_origins& origins);
-
 } // namespace hibiscusfall::dispatch
--- a/include/hibiscusfall/hibiscusfall.hpp
+++ b/include/hibiscusfall/hibiscusfall.hpp
@@ -44,6 +44,7 @@
 #include "hibiscusfall/dispatch/prefix_cache.hpp"
 #include "hibiscusfall/dispatch/prefix_transfer.hpp"
 #include "hibiscusfall/dispatch/prompt.hpp"
+#include "hibiscusfall/dispatch/record_need.hpp"
 #include "hibiscusfall/dispatch/repeat_budget.hpp"
 #include "hibiscusfall/dispatch/request_digest.hpp"
 #include "hibiscusfall/dispatch/request_traits.hpp"
--- a/src/dispatch/fleet_state.cpp
+++ b/src/dispatch/fleet_state.cpp
@@ -287,6 +287,8 @@
         return "none";
     case exclusion::wrong_version:
         return "wrong-version";
+    case exclusion::deprioritized_version:
+        return "deprioritized-version";
     case exclusion::not_listed:
         return "not-listed";
     case exclusion::evacuated:
--- a/src/dispatch/origin_handover.cpp
+++ b/src/dispatch/origin_handover.cpp
@@ -1,5 +1,7 @@
 #include "hibiscusfall/dispatch/origin_handover.hpp"
 
+#include "hibiscusfall/dispatch/record_need.hpp"
+
 #include <algorithm>
 
 namespace hibiscusfall::dispatch
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -1,5 +1,9 @@
 #include "hibiscusfall/dispatch/stream_origins.hpp"
 
+#include "version_lists.hpp"
+
+#include "hibiscusfall/dispatch/record_need.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -8,13 +12,11 @@
 namespace hibiscusfall::dispatch
 {
 
-namespace
-{
+using detail::contains;
+using detail::has_all;
 
-bool contains(std::span<const std::string> versions, std::string_view version)
+namespace
 {
-    return std::find(versions.begin(), versions.end(), version) != versions.end();
-}
 
 void add_version(std::vector<std::string>& versions, const std::string& version)
 {
@@ -23,49 +25,6 @@
     }
 }
 
-bool has_all(std::span<const std::string> versions, std::span<const std::string> wanted)
-{
-    return std::all_of(
-        wanted.begin(), wanted.end(), [&](const auto& version) { return contains(versions, version); });
-}
-
-/// Has the baseline read again. One that is named holds until then.
-void doubt_baseline(stream_baseline& baseline)
-{
-    if (baseline.state == baseline_state::named) {
-        baseline.next_check = core::instant{};
-    } else {
-        baseline = {};
-    }
-}
-
-/// Whether another instance could continue a stream at this version that has no record at another one.
-bool may_be_continued_elsewhere(const service_versions& versions, std::string_view version)
-{
-    const auto& baseline = versions.baseline;
-    switch (baseline.state) {
-    case baseline_state::named:
-        return version != baseline.version && contains(versions.ready, baseline.version);
-    case baseline_state::absent:
-        return false;
-    case baseline_state::unread:
-        break;
-    }
-    // The baseline is one of the versions that the store names, or not even these are known.
-    return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& other) {
-        return other != version && (versions.registered.empty() || contains(versions.registered, other));
-    });
-}
-
-bool is_second_choice(const stream_origins& origins,
-                      const service_versions& versions,
-                      std::string_view version)
-{
-    const auto& baseline = versions.baseline;
-    return origins.records_failing && baseline.state == baseline_state::named &&
-           version != baseline.version && contains(versions.ready, baseline.version);
-}
-
 /// Finds the origin in constant or other origins.
 template <class origins_type>
 auto* find_known(origins_type& origins, stream_tag stream, core::instant now)
@@ -140,7 +99,7 @@
         const bool returned =
             versions.registered.size() > 1 && !has_all(listed_before[service], versions.listed);
         if (returned) {
-            doubt_baseline(versions.baseline);
+            request_check(versions.baseline);
         }
         if (!all_registered || returned) {
             unconfirmed.push_back(service);
@@ -149,16 +108,6 @@
     return unconfirmed;
 }
 
-void doubt_baseline(stream_origins& origins,
-                    const core::service_id& service,
-                    std::span<const std::string> stored)
-{
-    const auto found = origins.services.find(service);
-    if (found != origins.services.end() && !has_all(stored, found->second.registered)) {
-        doubt_baseline(found->second.baseline);
-    }
-}
-
 void record_registered(stream_origins& origins,
                        const core::service_id& service,
                        std::vector<std::string> versions)
@@ -171,70 +120,12 @@
     known.use_unregistered = false;
 }
 
-void record_baseline(stream_origins& origins,
-                     const core::service_id& service,
-                     const std::optional<std::string>& version,
-                     core::instant now,
-                     const baseline_times& times)
-{
-    auto& known = origins.services[service];
-    auto& baseline = known.baseline;
-    if (!version) {
-        baseline = {.state = baseline_state::absent};
-    } else if (baseline.state == baseline_state::named && baseline.version == *version) {
-        baseline.next_check = now + times.check_interval;
-    } else {
-        // An instance that knew another version before may learn of the registration long after it.
-        const bool was_alone = known.registered == std::vector{*version};
-        baseline = {.state = baseline_state::named,
-                    .version = *version,
-                    .covers_until =
-                        was_alone ? now + times.lifetime - times.max_learning_time : core::instant{},
-                    .next_check = now + times.lifetime};
-    }
-}
-
-bool is_baseline_check_due(const service_versions& versions, core::instant now)
-{
-    return versions.baseline.state == baseline_state::unread ||
-           (versions.baseline.state == baseline_state::named && versions.baseline.next_check <= now);
-}
-
-record_need need_of_record(const stream_origins& origins, const stream_origin& origin)
-{
-    const auto found = origins.services.find(origin.service);
-    if (found == origins.services.end() || !is_mixed(origins, origin.service)) {
-        return record_need::none;
-    }
-    if (origin.superseded) {
-        return record_need::required;
-    }
-    const auto& versions = found->second;
-    if (versions.registered.size() == 1 && origin.version == versions.registered.front()) {
-        return record_need::none; // the other version has no streams before it is registered
-    }
-    if (may_be_continued_elsewhere(versions, origin.version)) {
-        return record_need::required;
-    }
-    const auto& baseline = versions.baseline;
-    if (baseline.state == baseline_state::named && origin.version == baseline.version) {
-        return origin.expires <= baseline.covers_until ? record_need::none : record_need::later;
-    }
-    return record_need::wanted;
-}
-
 bool has_several_registered(const stream_origins& origins, const core::service_id& service)
 {
     const auto found = origins.services.find(service);
     return found != origins.services.end() && found->second.registered.size() > 1;
 }
 
-bool is_baseline_absent(const stream_origins& origins, const core::service_id& service)
-{
-    const auto found = origins.services.find(service);
-    return found != origins.services.end() && found->second.baseline.state == baseline_state::absent;
-}
-
 bool is_mixed(const stream_origins& origins, const core::service_id& service)
 {
     const auto found = origins.services.find(service);
@@ -266,24 +157,6 @@
     return true;
 }
 
-bool is_second_choice(const stream_origins& origins,
-                      const core::service_id& service,
-                      std::string_view version)
-{
-    const auto found = origins.services.find(service);
-    return found != origins.services.end() && is_second_choice(origins, found->second, version);
-}
-
-bool has_second_choice(const stream_origins& origins)
-{
-    return std::any_of(origins.services.begin(), origins.services.end(), [&](const auto& each) {
-        const auto& versions = each.second;
-        return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& version) {
-            return is_second_choice(origins, versions, version);
-        });
-    });
-}
-
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now)
 {
     remove_expired(origins, now);
@@ -427,11 +300,4 @@
     }
 }
 
-void forget_baselines(stream_origins& origins)
-{
-    for (auto& [service, versions] : origins.services) {
-        versions.baseline = {};
-    }
-}
-
 } // namespace hibiscusfall::dispatch
--- a/src/relay/attempt.cpp
+++ b/src/relay/attempt.cpp
@@ -4,6 +4,7 @@
 #include "exchange.hpp"
 #include "refusal.hpp"
 #include "request_target.hpp"
+#include "stream_beginning.hpp"
 
 #include "hibiscusfall/dispatch/answer_wait.hpp"
 #include "hibiscusfall/dispatch/request_digest.hpp"
@@ -25,11 +26,6 @@
 
 /// Connections within a site take a few ms; a lost SYN is retransmitted only after 1 s.
 constexpr core::duration connect_limit = std::chrono::milliseconds{400};
-/// A first event is held for so long at most while the store does not know where its stream begins: a batch's
-/// time and a slow call.
-constexpr core::duration max_origin_hold = std::chrono::milliseconds{400};
-constexpr core::duration origin_hold_step = std::chrono::milliseconds{10};
-
 /// Result of an attempt that another endpoint has answered before it.
 attempt_result answered_elsewhere(endpoint_connection& connection)
 {
@@ -108,42 +104,6 @@
     co_await state.caller.write(status, text);
 }
 
-/// Records the software version at which the stream begins, before the request is sent: the store has it by
-/// the time of the first event.
-void record_beginning(request_state& state)
-{
-    if (state.software_version.empty() && state.route->resumable) {
-        dispatch::record_origin(state.server.origins,
-                                {.stream = stream_of(state),
-                                 .service = state.service,
-                                 .version = state.attempt_version,
-                                 .expires = state.deadline},
-                                event_loop::now());
-    }
-}
-
-/// Waits until the store knows where the stream begins, as another instance may need it to continue it.
-/// @remarks If another instance would continue it at another version otherwise, the stream waits for as long
-/// as its caller does.
-asio::awaitable<void> hold_until_stored(request_state& state)
-{
-    auto& server = state.server;
-    const auto limit = event_loop::now() + max_origin_hold;
-    while (server.find_origin && state.route->resumable && !is_take_up(state)) {
-        const auto now = event_loop::now();
-        const auto* origin = dispatch::find_origin(server.origins, stream_of(state), now);
-        if (origin == nullptr || origin->stored || state.caller.is_disconnected()) {
-            co_return;
-        }
-        const auto need = dispatch::need_of_record(server.origins, *origin);
-        if (need == dispatch::record_need::none || need == dispatch::record_need::later ||
-            now >= (need == dispatch::record_need::required ? state.deadline : limit)) {
-            co_return;
-        }
-        co_await server.loop.sleep(core::duration{origin_hold_step});
-    }
-}
-
 /// Records that an event arrived; comments and the end mark are none.
 void note_event(request_state& state, dispatch::running_request& running, core::instant now)
 {
--- a/src/relay/relay_server.cpp
+++ b/src/relay/relay_server.cpp
@@ -8,6 +8,7 @@
 #include "listener.hpp"
 #include "page_server.hpp"
 
+#include "hibiscusfall/dispatch/record_need.hpp"
 #include "hibiscusfall/telemetry/log_event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -139,9 +140,9 @@
         state.begins_streams =
             !this->find_origin ||
             dispatch::may_begin(this->origins, state.entry.service, state.software_version);
-        state.second_choice =
+        state.deprioritized =
             this->find_origin &&
-            dispatch::is_second_choice(this->origins, state.entry.service, state.software_version);
+            dispatch::is_deprioritized(this->origins, state.entry.service, state.software_version);
     }
 }
 
--- a/tests/adapter/origin_instance.hpp
+++ b/tests/adapter/origin_instance.hpp
@@ -4,6 +4,8 @@
 #include "origin_store.hpp"
 #include "platform_store.hpp"
 
+#include "hibiscusfall/dispatch/record_need.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
@@ -122,9 +124,9 @@
         return this->on_loop([&] { return dispatch::may_begin(this->origins, service, version); });
     }
 
-    bool is_second_choice(const std::string& version)
+    bool is_deprioritized(const std::string& version)
     {
-        return this->on_loop([&] { return dispatch::is_second_choice(this->origins, service, version); });
+        return this->on_loop([&] { return dispatch::is_deprioritized(this->origins, service, version); });
     }
 
     /// @brief Lists the versions and waits until streams may begin at all of them.
@@ -259,6 +261,13 @@
     std::thread thread;
 };
 
+/// @brief What an instance without memory finds of a stream, see @c instance::found.
+inline std::string found_without_memory(const platform_store& store, const std::string& id)
+{
+    instance started{store};
+    return started.found(id);
+}
+
 /// @brief The versions that the store names for the service; sorted, with a comma after each.
 inline std::string registered(platform_store& store)
 {
--- a/tests/adapter/stream_baseline_test.cpp
+++ b/tests/adapter/stream_baseline_test.cpp
@@ -68,8 +68,7 @@
     join(one);
     one.begin("r2", "v2");
     BOOST_REQUIRE(eventually([&] { return stored_streams(store) == 1; }));
-    instance restarted{store};
-    BOOST_TEST(restarted.found("r2") == "v2");
+    BOOST_TEST(found_without_memory(store, "r2") == "v2");
 }
 
 // Streams from before the second version are known by the baseline: they are not written when it comes.
@@ -202,8 +201,7 @@
     BOOST_REQUIRE(one.serve({"v1", "v2"}));
     BOOST_TEST(baseline(store) == "v2");
     BOOST_TEST(one.found("from before") == "v2");
-    instance restarted{store};
-    BOOST_TEST(restarted.found("from before") == "v2");
+    BOOST_TEST(found_without_memory(store, "from before") == "v2");
 }
 
 // The one that was alone has left: streams may have begun unregistered at the next one.
@@ -241,20 +239,20 @@
     platform_store store;
     instance one{store};
     join(one);
-    BOOST_TEST(!one.is_second_choice("v2"));
+    BOOST_TEST(!one.is_deprioritized("v2"));
     store.set_fault(platform_store::fault::unavailable);
     one.begin("r2", "v2");
-    BOOST_TEST(eventually([&] { return one.is_second_choice("v2"); }));
-    BOOST_TEST(!one.is_second_choice("v1"));
+    BOOST_TEST(eventually([&] { return one.is_deprioritized("v2"); }));
+    BOOST_TEST(!one.is_deprioritized("v1"));
     store.set_fault(platform_store::fault::none);
-    BOOST_TEST(eventually([&] { return !one.is_second_choice("v2"); }));
+    BOOST_TEST(eventually([&] { return !one.is_deprioritized("v2"); }));
     // Also if nothing is left to be written when the store is back.
     store.set_fault(platform_store::fault::unavailable);
     one.begin("r3", "v2", team, 500ms);
-    BOOST_TEST(eventually([&] { return one.is_second_choice("v2"); }));
+    BOOST_TEST(eventually([&] { return one.is_deprioritized("v2"); }));
     std::this_thread::sleep_for(600ms);
     store.set_fault(platform_store::fault::none);
-    BOOST_TEST(eventually([&] { return !one.is_second_choice("v2"); }));
+    BOOST_TEST(eventually([&] { return !one.is_deprioritized("v2"); }));
 }
 
 // For a moment after the outage another instance reads the set without the new version, and concludes the one
--- a/tests/dispatch/placement_test.cpp
+++ b/tests/dispatch/placement_test.cpp
@@ -181,10 +181,10 @@
 }
 
 // While the store is away, the endpoints of the baseline version may have left without its saying so.
-BOOST_AUTO_TEST_CASE(a_second_choice_begins_streams_when_the_others_cannot_be_used)
+BOOST_AUTO_TEST_CASE(a_deprioritized_version_is_used_once_the_endpoints_of_the_others_are_suspended)
 {
     auto fleet = make_fleet({{"a", "north"}, {"b", "north"}}, false);
-    state_of(fleet, "b").second_choice = true;
+    state_of(fleet, "b").deprioritized = true;
     const auto place = [&](const dispatch::placement_request& request) {
         return dispatch::place(fleet, request, dispatch::policy::engine_model, start).endpoint;
     };
--- a/tests/dispatch/stream_baseline_test.cpp
+++ b/tests/dispatch/stream_baseline_test.cpp
@@ -1,4 +1,5 @@
 #include "hibiscusfall/dispatch/origin_handover.hpp"
+#include "hibiscusfall/dispatch/record_need.hpp"
 #include "hibiscusfall/dispatch/stream_origins.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -183,37 +184,37 @@
     BOOST_TEST((dispatch::need_of_record(origins, origin("v2", start + 20s)) == record_need::later));
     // Known again from the set: of the versions before, one is gone.
     dispatch::record_baseline(origins, service, std::nullopt, start + 40s);
-    dispatch::doubt_baseline(origins, service, std::vector<std::string>{"v1", "v2", "v3"});
+    dispatch::request_check_after_removal(origins, service, std::vector<std::string>{"v1", "v2", "v3"});
     BOOST_TEST(dispatch::is_baseline_absent(origins, service));
-    dispatch::doubt_baseline(origins, service, std::vector<std::string>{"v2", "v3"});
+    dispatch::request_check_after_removal(origins, service, std::vector<std::string>{"v2", "v3"});
     BOOST_TEST(dispatch::is_baseline_check_due(versions, start + 40s));
     // A named one is only checked sooner: its streams are not held back for that.
     auto joined = after_join();
-    dispatch::doubt_baseline(joined, service, std::vector<std::string>{"v2"});
+    dispatch::request_check_after_removal(joined, service, std::vector<std::string>{"v2"});
     BOOST_TEST(dispatch::is_baseline_check_due(joined.services.at(service), start));
     BOOST_TEST((dispatch::need_of_record(joined, origin("v1")) == record_need::none));
     dispatch::record_baseline(joined, service, "v2", start + 1s);
     BOOST_TEST((dispatch::need_of_record(joined, origin("v1")) == record_need::required));
 }
 
-BOOST_AUTO_TEST_CASE(while_records_cannot_be_written_other_versions_than_the_baseline_are_a_second_choice)
+BOOST_AUTO_TEST_CASE(while_records_cannot_be_written_other_versions_than_the_baseline_are_deprioritized)
 {
     auto origins = after_join();
-    BOOST_TEST(!dispatch::is_second_choice(origins, service, "v2"));
-    BOOST_TEST(!dispatch::has_second_choice(origins));
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v2"));
+    BOOST_TEST(!dispatch::waits_for_records(origins));
     origins.records_failing = true;
-    BOOST_TEST(!dispatch::is_second_choice(origins, service, "v1"));
-    BOOST_TEST(dispatch::is_second_choice(origins, service, "v2"));
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v1"));
+    BOOST_TEST(dispatch::is_deprioritized(origins, service, "v2"));
     BOOST_TEST(dispatch::may_begin(origins, service, "v2")); // where no other endpoint is left
-    BOOST_TEST(dispatch::has_second_choice(origins));
+    BOOST_TEST(dispatch::waits_for_records(origins));
     // The baseline version has no endpoint that takes requests.
     (void)dispatch::update_versions(origins, list({"v2"}, {"v1"}));
-    BOOST_TEST(!dispatch::is_second_choice(origins, service, "v2"));
-    BOOST_TEST(!dispatch::has_second_choice(origins));
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v2"));
+    BOOST_TEST(!dispatch::waits_for_records(origins));
     (void)dispatch::update_versions(origins, list({"v1", "v2"}));
     dispatch::record_baseline(origins, service, std::nullopt, start);
-    BOOST_TEST(!dispatch::is_second_choice(origins, service, "v2"));
-    BOOST_TEST(!dispatch::has_second_choice(origins));
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v2"));
+    BOOST_TEST(!dispatch::waits_for_records(origins));
 }
 
 BOOST_AUTO_TEST_CASE(what_the_baseline_covers_is_not_handed_to_peers)
--- a/tests/relay/software_version_test.cpp
+++ b/tests/relay/software_version_test.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.hpp"
 
+#include "hibiscusfall/dispatch/record_need.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
