An unregistered version is used last beside a registered one, and not excluded

Cause, found by reading: a version that could not be registered, as the store was away, began no streams while a registered one was listed, whatever the state of that one's endpoints. The refusal was wider than its reason, which is that another instance concludes the registered version for a stream whose version it does not find. Change: such a version is deprioritized, like others while records cannot be written, and the first events of its streams are held until other instances find the version: the record is stored and the version is registered. Of a service with one registered version they look for no record, so that the record alone is not enough.

--- a/include/hibiscusfall/dispatch/record_need.hpp
+++ b/include/hibiscusfall/dispatch/record_need.hpp
@@ -26,8 +26,13 @@
 /// @brief Whether the store has to know where the stream began.
 [[nodiscard]] record_need need_of_record(const stream_origins& origins, const stream_origin& origin);
 
+/// @brief Whether other instances find where the stream began: its record is stored, and its version is
+/// registered. Of a service with one registered version they do not look for a record.
+[[nodiscard]] bool is_known_elsewhere(const stream_origins& origins, const stream_origin& origin);
+
 /// @brief Whether streams begin at the version only if no endpoint of other versions can be used.
-/// @remarks That is so while records cannot be written, of all versions but the baseline, which needs none.
+/// @remarks That is so while records cannot be written, of all versions but the baseline, which needs none;
+/// and of a version that could not be registered, beside one that is. First events would be held back there.
 [[nodiscard]] bool
 is_deprioritized(const stream_origins& origins, const core::service_id& service, std::string_view version);
 
--- a/include/hibiscusfall/dispatch/stream_origins.hpp
+++ b/include/hibiscusfall/dispatch/stream_origins.hpp
@@ -94,9 +94,8 @@
 /// @brief Whether streams of the service may have begun at different versions.
 [[nodiscard]] bool is_mixed(const stream_origins& origins, const core::service_id& service);
 
-/// @brief Whether streams that may be taken up can begin at the version.
-/// @remarks The store has to name it. If the store cannot be reached, a version that it does not name is used
-/// only where no other one has endpoints.
+/// @brief Whether streams that may be taken up can begin at the version: the store names it, or cannot be
+/// reached.
 [[nodiscard]] bool
 may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version);
 
--- a/src/dispatch/record_need.cpp
+++ b/src/dispatch/record_need.cpp
@@ -31,10 +31,20 @@
     });
 }
 
+bool has_ready_registered(const service_versions& versions)
+{
+    return std::any_of(versions.ready.begin(), versions.ready.end(), [&](const auto& version) {
+        return contains(versions.registered, version);
+    });
+}
+
 bool is_deprioritized(const stream_origins& origins,
                       const service_versions& versions,
                       std::string_view version)
 {
+    if (!contains(versions.registered, version)) {
+        return has_ready_registered(versions);
+    }
     const auto& baseline = versions.baseline;
     return origins.records_failing && baseline.state == baseline_state::named &&
            version != baseline.version && contains(versions.ready, baseline.version);
@@ -73,6 +83,13 @@
     return found != origins.services.end() && is_deprioritized(origins, found->second, version);
 }
 
+bool is_known_elsewhere(const stream_origins& origins, const stream_origin& origin)
+{
+    const auto found = origins.services.find(origin.service);
+    return origin.stored &&
+           (found == origins.services.end() || contains(found->second.registered, origin.version));
+}
+
 bool waits_for_records(const stream_origins& origins)
 {
     return std::any_of(origins.services.begin(), origins.services.end(), [&](const auto& each) {
--- a/src/dispatch/stream_origins.cpp
+++ b/src/dispatch/stream_origins.cpp
@@ -143,18 +143,8 @@
 bool may_begin(const stream_origins& origins, const core::service_id& service, std::string_view version)
 {
     const auto found = origins.services.find(service);
-    if (found == origins.services.end()) {
-        return false;
-    }
-    const auto& versions = found->second;
-    if (!contains(versions.registered, version)) {
-        // Others take a stream without a record for one of the version that the store names.
-        return versions.use_unregistered &&
-               std::none_of(versions.ready.begin(), versions.ready.end(), [&](const auto& each) {
-                   return contains(versions.registered, each);
-               });
-    }
-    return true;
+    return found != origins.services.end() &&
+           (found->second.use_unregistered || contains(found->second.registered, version));
 }
 
 void record_origin(stream_origins& origins, stream_origin origin, core::instant now)
--- a/src/relay/stream_beginning.cpp
+++ b/src/relay/stream_beginning.cpp
@@ -36,7 +36,8 @@
     while (server.find_origin && state.route->resumable && !is_take_up(state)) {
         const auto now = event_loop::now();
         const auto* origin = dispatch::find_origin(server.origins, stream_of(state), now);
-        if (origin == nullptr || origin->stored || state.caller.is_disconnected()) {
+        if (origin == nullptr || dispatch::is_known_elsewhere(server.origins, *origin) ||
+            state.caller.is_disconnected()) {
             co_return;
         }
         const auto need = dispatch::need_of_record(server.origins, *origin);
--- a/tests/adapter/origin_instance.hpp
+++ b/tests/adapter/origin_instance.hpp
@@ -238,6 +238,17 @@
         });
     }
 
+    bool is_known_elsewhere(const std::string& id)
+    {
+        return this->on_loop(
+            [&] { return dispatch::is_known_elsewhere(this->origins, this->origin_of(id)); });
+    }
+
+    dispatch::record_need need_of_record(const std::string& id)
+    {
+        return this->on_loop([&] { return dispatch::need_of_record(this->origins, this->origin_of(id)); });
+    }
+
     /// @brief Whether the instance holds the origin, its own or one for a peer.
     bool holds(const std::string& id)
     {
@@ -253,6 +264,11 @@
     std::atomic<int> version_changes{0};
 
 private:
+    [[nodiscard]] const dispatch::stream_origin& origin_of(const std::string& id) const
+    {
+        return this->origins.known.at(dispatch::tag_of_stream(team, service, id));
+    }
+
     inline static const core::address sender{.host = "10.0.0.7", .port = 7};
 
     relay::event_loop loop;
--- a/tests/dispatch/stream_baseline_test.cpp
+++ b/tests/dispatch/stream_baseline_test.cpp
@@ -217,6 +217,31 @@
     BOOST_TEST(!dispatch::waits_for_records(origins));
 }
 
+// Of a service with one registered version others conclude this version, without a look at records.
+BOOST_AUTO_TEST_CASE(an_unregistered_version_is_used_last_and_its_streams_are_not_known_by_a_record_alone)
+{
+    stream_origins origins;
+    dispatch::record_registered(origins, service, {"v1"});
+    (void)dispatch::update_versions(origins, list({"v1", "v2"}));
+    origins.services.at(service).use_unregistered = true;
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v1"));
+    BOOST_TEST(dispatch::is_deprioritized(origins, service, "v2"));
+    BOOST_TEST(!dispatch::waits_for_records(origins)); // but for its registration
+    auto stream = origin("v2");
+    BOOST_TEST((dispatch::need_of_record(origins, stream) == record_need::required));
+    stream.stored = true;
+    BOOST_TEST(!dispatch::is_known_elsewhere(origins, stream));
+    dispatch::record_registered(origins, service, {"v1", "v2"});
+    BOOST_TEST(dispatch::is_known_elsewhere(origins, stream));
+    stream.stored = false;
+    BOOST_TEST(!dispatch::is_known_elsewhere(origins, stream));
+    // It alone has endpoints that take requests.
+    dispatch::record_registered(origins, service, {"v1"});
+    (void)dispatch::update_versions(origins, list({"v2"}, {"v1"}));
+    BOOST_TEST(!dispatch::is_deprioritized(origins, service, "v2"));
+    BOOST_TEST((dispatch::need_of_record(origins, stream) == record_need::wanted));
+}
+
 BOOST_AUTO_TEST_CASE(what_the_baseline_covers_is_not_handed_to_peers)
 {
     auto origins = after_join();
--- a/tests/relay/software_version_test.cpp
+++ b/tests/relay/software_version_test.cpp
@@ -86,7 +86,9 @@
     fixture.run_on_loop([&](relay::relay_server& server) {
         const core::service_id service{"desk"};
         dispatch::record_registered(server.origins, service, versions);
-        dispatch::record_baseline(server.origins, service, baseline, relay::event_loop::now());
+        if (versions.size() > 1) {
+            dispatch::record_baseline(server.origins, service, baseline, relay::event_loop::now());
+        }
         server.set_origin_lookup(
             [](core::service_id, dispatch::stream_tag) -> relay::asio::awaitable<relay::origin_reading> {
                 co_return relay::origin_reading{};
@@ -335,4 +337,35 @@
     BOOST_TEST(fixture.endpoint(1).requests().empty());
 }
 
+// The registered version's endpoint fails, and the other version could not be registered: another instance
+// would conclude the registered one until it is.
+BOOST_AUTO_TEST_CASE(no_event_of_an_unregistered_version_is_passed_on_before_it_is_registered)
+{
+    const scripted_endpoint::script failing = [](endpoint_connection& connection) {
+        (void)connection.read_request();
+        connection.reset();
+    };
+    const core::service_id service{"desk"};
+    relay_fixture fixture{{failing, whole_streams()}, stream_route(), {"v1", "v2"}};
+    record_in_store(fixture, {"v1"});
+    fixture.run_on_loop([&](relay::relay_server& server) {
+        server.origins.services.at(service).use_unregistered = true;
+        server.apply_stream_versions();
+    });
+    raw_caller caller{fixture.port()};
+    caller.send(request_bytes("1"));
+    BOOST_TEST(caller.read_until(numbered_event(1), 1000ms).empty());
+    BOOST_TEST(fixture.endpoint(1).requests().size() == 1U);
+    fixture.run_on_loop([&](relay::relay_server& server) {
+        for (auto& [stream, origin] : server.origins.known) {
+            origin.stored = true;
+        }
+    });
+    BOOST_TEST(caller.read_until(numbered_event(1), 600ms).empty());
+    fixture.run_on_loop([&](relay::relay_server& server) {
+        dispatch::record_registered(server.origins, service, {"v1", "v2"});
+    });
+    BOOST_TEST(caller.read_all().ends_with(last_chunk));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
