--- a/tests/adapter/store_connection_test.cpp
+++ b/tests/adapter/store_connection_test.cpp
@@ -12,9 +12,9 @@
 
 BOOST_AUTO_TEST_SUITE(store_connection_test)
 
-// The first take-up at each instance was refused with "the store cannot be read" after its connections had
-// rested.
-BOOST_AUTO_TEST_CASE(a_take_up_is_not_refused_as_a_connection_that_rested_has_ended)
+// The first take-up at each instance was refused with "the store cannot be read" once the store had closed
+// its idle connections.
+BOOST_AUTO_TEST_CASE(a_take_up_is_not_refused_as_an_idle_connection_has_ended)
 {
     for (const auto how : {connection_end::closed, connection_end::at_a_request, connection_end::silent}) {
         BOOST_TEST_CONTEXT("end " << static_cast<int>(how))
@@ -38,7 +38,7 @@
     }
 }
 
-// All connections of a burst of take-ups are kept, and all of them end while they rest.
+// The connections of a burst of take-ups are kept, and all of them end while they are idle.
 BOOST_AUTO_TEST_CASE(no_take_up_is_refused_as_several_kept_connections_have_ended)
 {
     platform_store store;
